--- a/src/filbertyard/callerserver.py
+++ b/src/filbertyard/callerserver.py
@@ -192,6 +192,17 @@
         body.chunked_input = False
         body.content_length = body.position
 
+    def abort(self) -> None:
+        """Close the connection at once, so that its response cannot look complete."""
+        self.close_connection = True
+        self.status = None
+        # The server would end a chunked body as if it were complete.
+        self.response_use_chunked = False
+        try:
+            self.socket.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            return
+
     def linger(self) -> None:
         """Read a bounded part of what the caller still sends."""
         left = LINGER_BYTES
--- a/src/filbertyard/exceptions.py
+++ b/src/filbertyard/exceptions.py
@@ -139,3 +139,22 @@
 
 class NotOwnerError(FilbertyardError):
     """An order or dispatch attempted without a valid host lease or ownership."""
+
+
+class LeaseEndedError(KeyValueError):
+    """A lease of the key-value service that no longer exists."""
+
+
+class HistoryLostError(KeyValueError):
+    """A watch whose start is older than the history that the service keeps."""
+
+
+class CallRefusedError(KeyValueUnavailableError):
+    """A call that the key-value service refused; it certainly had no effect."""
+
+
+class DocumentError(FilbertyardError):
+    """A document of the platform that cannot be read, with its key and field."""
+
+    def __init__(self, key: str, detail: str) -> None:
+        super().__init__(f"{key}: {detail}", step="decode", peer=key)
--- /dev/null
+++ b/src/filbertyard/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Entry hosts that send requests straight to replicas under grants of their owners."""
--- /dev/null
+++ b/src/filbertyard/gateway/claims.py
@@ -0,0 +1,295 @@
+"""The record of a host in the store and the replicas that it owns."""
+
+from __future__ import annotations
+
+import json
+import logging
+import time
+from collections.abc import Callable
+
+import gevent
+from gevent.event import Event
+
+from ..exceptions import KeyValueError
+from ..exceptions import LeaseEndedError
+from ..keyvalue import Compare
+from ..keyvalue import Delete
+from ..keyvalue import KeyValue
+from ..keyvalue import Put
+from ..keyvalue import Write
+from ..logs import log_event
+from .state import HOST_PREFIX
+from .state import OWNER_PREFIX
+from .state import GatewayState
+from .tenure import HOST_LEASE_S
+from .tenure import ClaimDecision
+from .tenure import Tenure
+from .tenure import decide_claims
+from .types import HostRecord
+
+logger = logging.getLogger(__name__)
+
+# A third of the lease's time to live.
+RENEW_PAUSE_S = 1.0
+RETRY_PAUSE_S = 0.4
+
+# After this time without a renewal the owners' records are read again before orders
+# go on: another host may have taken over meanwhile.
+GAP_S = 2.0
+
+# Pause between two looks for replicas to claim.
+CLAIM_PAUSE_S = 0.5
+
+# A host that has just started waits this long before it claims, so that hosts that
+# start together share the replicas.
+SETTLE_S = 2.5
+
+# The store takes at most this many writes in one transaction.
+MAX_TXN_WRITES = 30
+
+# The record of a replica that is gone is removed after this time.
+FORGET_REPLICA_S = 20.0
+
+
+def boot_clock() -> float:
+    """Return a clock that counts the time for which the machine was suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class Registrar:
+    """Keep the host's record and its claims in the store."""
+
+    def __init__(
+        self,
+        record: Callable[[], HostRecord],
+        state: GatewayState,
+        store: KeyValue,
+        tenure: Tenure,
+        reachable: Callable[[], set[str]],
+    ) -> None:
+        self.record = record
+        self.state = state
+        self.store = store
+        self.tenure = tenure
+        self.reachable = reachable
+        self.lease = 0
+        self.is_registered = False
+        self.written: HostRecord | None = None
+        self.started_at = boot_clock()
+        self.unowned_since: dict[str, float] = {}
+        self.gone_since: dict[str, float] = {}
+        self.changed = Event()
+
+    def run(self) -> None:
+        """Renew the host's record for ever."""
+        while True:
+            try:
+                self.renew()
+                pause_s = RENEW_PAUSE_S
+            except KeyValueError as error:
+                if self.is_registered:
+                    log_event(
+                        logger,
+                        "host_lease_unconfirmed",
+                        level=logging.WARNING,
+                        age_s=boot_clock() - self.tenure.renewed_at,
+                        error=str(error),
+                    )
+                self.is_registered = False
+                pause_s = RETRY_PAUSE_S
+                if isinstance(error, LeaseEndedError):
+                    self.lease = 0
+            self.changed.wait(timeout=pause_s)
+            self.changed.clear()
+
+    def renew(self) -> None:
+        """Renew the lease and the record; raise KeyValueError."""
+        sent_at = boot_clock()
+        record = self.record()
+        if self.lease and self.store.lease_keepalive(self.lease) <= 0:
+            log_event(logger, "host_lease_ended", level=logging.WARNING)
+            self.lease = 0
+        if not self.lease:
+            self.lease = self.store.lease_grant(HOST_LEASE_S)
+            self.written = None
+        known = self.state.hosts.get(record.id)
+        if self.written != record or known != record:
+            self.write_record(record)
+        if not self.is_registered or sent_at - self.tenure.renewed_at > GAP_S:
+            self.verify()
+        self.tenure.renew(sent_at)
+        if not self.is_registered:
+            self.is_registered = True
+            log_event(logger, "host_registered", lease=self.lease)
+
+    def write_record(self, record: HostRecord) -> None:
+        """Write the host's record under its lease; raise KeyValueError."""
+        value = {
+            "instance": record.instance,
+            "callers": record.callers,
+            "zone": record.availability_zone,
+            "leaving": record.is_leaving,
+        }
+        put = Put(HOST_PREFIX + record.id, encode(value), self.lease)
+        self.store.txn([], [put])
+        self.written = record
+
+    def verify(self) -> None:
+        """Read the owners again and drop the claims of others; raise KeyValueError."""
+        found = self.store.range(OWNER_PREFIX, prefix=True)
+        now = time.monotonic()
+        for item in found.items:
+            self.state.put(self.state.own, item, now, "store")
+        record = self.record()
+        before = len(self.tenure.claims)
+        self.tenure.keep(self.state.owners, record.id, record.instance)
+        log_event(
+            logger,
+            "claims_verified",
+            kept=len(self.tenure.claims),
+            dropped=before - len(self.tenure.claims) or None,
+            revision=found.revision,
+        )
+
+    def run_claims(self) -> None:
+        """Claim replicas without an owner, for ever."""
+        gevent.sleep(SETTLE_S)
+        while True:
+            gevent.sleep(CLAIM_PAUSE_S)
+            record = self.record()
+            self.tenure.keep(self.state.owners, record.id, record.instance)
+            if not self.is_registered or record.is_leaving:
+                continue
+            try:
+                self.claim()
+                self.forget_gone()
+            except KeyValueError as error:
+                log_event(
+                    logger, "claim_failed", level=logging.WARNING, error=str(error)
+                )
+
+    def engines(self) -> set[str]:
+        """Return the replicas of services with engines."""
+        configuration = self.state.configuration
+        if configuration is None:
+            return set()
+        services = {
+            name
+            for name, service in configuration.services.items()
+            if service.engine is not None
+        }
+        return {
+            replica.id
+            for replica in self.state.replicas.values()
+            if replica.service in services
+        }
+
+    def claim(self) -> None:
+        """Claim what this host should own; raise KeyValueError."""
+        now = time.monotonic()
+        replicas = self.engines()
+        for replica in replicas:
+            self.unowned_since.setdefault(replica, now)
+        decisions = decide_claims(
+            host=self.record(),
+            replicas=replicas,
+            owners=self.state.owners,
+            hosts=self.state.hosts,
+            missing_since=self.state.missing_since,
+            unowned_since=self.unowned_since,
+            reachable=self.reachable(),
+            tenure=self.tenure,
+            now=now,
+        )
+        for replica in list(self.unowned_since):
+            record = self.state.owners.get(replica)
+            is_owned = record is not None and record.host in self.state.hosts
+            if is_owned and record is not None and not record.is_released:
+                del self.unowned_since[replica]
+        for decision in decisions:
+            self.claim_one(decision)
+
+    def claim_one(self, decision: ClaimDecision) -> None:
+        """Write one owner record; raise KeyValueError."""
+        record = self.record()
+        key = OWNER_PREFIX + decision.replica
+        value = {"host": record.id, "instance": record.instance, "released": False}
+        sent_at = boot_clock()
+        try:
+            result = self.store.txn(
+                [Compare(key, decision.revision)], [Put(key, encode(value))]
+            )
+            fence = result.revision if result.succeeded else 0
+        except KeyValueError:
+            # The write may have taken effect although its answer was lost.
+            found = self.store.range(key)
+            fence = 0
+            for item in found.items:
+                if item.value == encode(value) and item.mod_revision:
+                    fence = item.mod_revision
+        if not fence:
+            log_event(logger, "claim_lost", replica=decision.replica)
+            return
+        item_now = time.monotonic()
+        found = self.store.range(key)
+        for item in found.items:
+            self.state.put(self.state.own, item, item_now, "store")
+        owner = self.state.owners.get(decision.replica)
+        if owner is None or (owner.host, owner.instance) != (
+            record.id,
+            record.instance,
+        ):
+            log_event(logger, "claim_lost", replica=decision.replica)
+            return
+        begin = max(boot_clock(), sent_at) + decision.wait_s
+        self.tenure.add(decision.replica, owner.fence, begin)
+        log_event(
+            logger,
+            "claimed",
+            replica=decision.replica,
+            cause=decision.cause,
+            fence=owner.fence,
+            orders_in_s=decision.wait_s,
+        )
+
+    def release_all(self) -> None:
+        """Give up all claims before this host leaves."""
+        record = self.record()
+        claims = dict(self.tenure.claims)
+        self.tenure.claims.clear()
+        value = {"host": record.id, "instance": record.instance, "released": True}
+        for replica, claim in claims.items():
+            key = OWNER_PREFIX + replica
+            try:
+                self.store.txn([Compare(key, claim.fence)], [Put(key, encode(value))])
+                log_event(logger, "claim_released", replica=replica)
+            except KeyValueError as error:
+                # The successor then waits as for a lost host.
+                log_event(
+                    logger, "release_failed", level=logging.WARNING, error=str(error)
+                )
+                return
+
+    def forget_gone(self) -> None:
+        """Remove the records of replicas that are long gone; raise KeyValueError."""
+        now = time.monotonic()
+        engines = self.engines()
+        writes: list[Write] = []
+        compares: list[Compare] = []
+        for replica, claim in list(self.tenure.claims.items()):
+            if replica in engines:
+                self.gone_since.pop(replica, None)
+                continue
+            if now - self.gone_since.setdefault(replica, now) < FORGET_REPLICA_S:
+                continue
+            del self.gone_since[replica]
+            del self.tenure.claims[replica]
+            writes.append(Delete(OWNER_PREFIX + replica))
+            compares.append(Compare(OWNER_PREFIX + replica, claim.fence))
+        if writes:
+            self.store.txn(compares[:MAX_TXN_WRITES], writes[:MAX_TXN_WRITES])
+
+
+def encode(value: dict[str, object]) -> bytes:
+    """Return a record as stored."""
+    return json.dumps(value, separators=(",", ":")).encode()
--- /dev/null
+++ b/src/filbertyard/gateway/directory.py
@@ -0,0 +1,67 @@
+"""Answers to callers that ask where to connect, readiness and metrics."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+from typing import Protocol
+from urllib.parse import parse_qs
+
+from ..metrics import Metrics
+from .wire import Wire
+
+# Callers keep an answer where to connect for this long, in seconds.
+ADDRESS_TTL_S = 2.0
+
+MAX_ADDRESSES = 64
+
+METRICS_PATH = "/metrics"
+
+
+class DirectoryHost(Protocol):
+    """What the directory needs of the gateway host."""
+
+    metrics: Metrics
+
+    def caller_addresses(self, zone: str) -> list[str]:
+        """Return where callers of a zone should connect."""
+
+    def is_ready(self) -> bool:
+        """Tell if the host is fit for new callers."""
+
+
+class DirectoryApplication:
+    """WSGI application beside the one for requests."""
+
+    def __init__(self, host: DirectoryHost, wire: Wire) -> None:
+        self.host = host
+        self.wire = wire
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: Callable[..., Any]
+    ) -> list[bytes]:
+        """Answer one query."""
+        path = environ["PATH_INFO"]
+        if self.wire.is_address_query(path):
+            query = parse_qs(environ.get("QUERY_STRING", ""))
+            zone = query.get("zone", [""])[0]
+            addresses = self.host.caller_addresses(zone)[:MAX_ADDRESSES]
+            body = self.wire.addresses(addresses, ADDRESS_TTL_S)
+            return answer(start_response, "200 OK", body, "application/json")
+        if self.wire.is_readiness_query(path):
+            ready = self.host.is_ready()
+            status = "200 OK" if ready else "503 Service Unavailable"
+            return answer(start_response, status, b"", "text/plain")
+        if path == METRICS_PATH:
+            body = self.host.metrics.render().encode()
+            return answer(start_response, "200 OK", body, "text/plain; version=0.0.4")
+        return answer(start_response, "404 Not Found", b"", "text/plain")
+
+
+def answer(
+    start_response: Callable[..., Any], status: str, body: bytes, content_type: str
+) -> list[bytes]:
+    """Send a whole answer."""
+    headers = [("Content-Type", content_type), ("Content-Length", str(len(body)))]
+    start_response(status, headers)
+    return [body]
--- /dev/null
+++ b/src/filbertyard/gateway/entry.py
@@ -0,0 +1,713 @@
+"""The path of one request: route, grant, replica, answer."""
+
+from __future__ import annotations
+
+import logging
+import random
+import re
+import time
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass
+from dataclasses import field
+from http import HTTPStatus
+from typing import Any
+from typing import Literal
+from typing import Protocol
+
+from ..callerserver import HANDLER_KEY
+from ..exceptions import CallerGoneError
+from ..exceptions import RequestError
+from ..exceptions import SlowCallerError
+from ..exceptions import TooLargeError
+from ..exceptions import UpstreamError
+from ..httpcalls import HttpPeer
+from ..httpcalls import HttpResponse
+from ..logs import log_event
+from ..metrics import Metrics
+from .health import HealthTable
+from .links import Ask
+from .links import Granted
+from .links import RequestTurnedAway
+from .placement import Candidate
+from .placement import PlainCandidate
+from .placement import choose
+from .placement import choose_plain
+from .repeats import RepeatBudget
+from .state import GatewayState
+from .types import AdapterName
+from .types import GatewayRequest
+from .types import Replica
+from .types import Route
+from .wire import AnswerHead
+from .wire import Wire
+
+logger = logging.getLogger(__name__)
+
+# Kept connections to replicas are used again within this time only: replicas may drop
+# idle ones without notice.
+REPLICA_IDLE_S = 2.0
+
+# Connections to one replica; the replica's own bound is lower.
+REPLICA_CONNECTIONS = 1024
+
+# Owners asked for one request before it is turned away.
+MAX_ASKS = 3
+
+# A silent replica is given up for another after this many objectives, where the
+# request may be repeated.
+SILENCE_OBJECTIVES = 1.0
+LEAST_SILENCE_S = 0.25
+
+# Clients return at most after this part of the time that they have left.
+RETURN_FRACTION = 1 / 3
+
+# Told to callers where nothing better is known, in seconds.
+DEFAULT_RETRY_S = 0.5
+
+# Share of the route's time left for the answer that ends the request.
+END_MARGIN_S = 0.05
+
+MAX_HEAD_BYTES_READ = 65536
+
+REASONS = {status.value: status.phrase for status in HTTPStatus}
+
+EVENT_ID = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
+
+Outcome = Literal["delivered", "not_run", "unknown", "broken"]
+
+
+@dataclass(slots=True)
+class Attempt:
+    """What became of one send to a replica."""
+
+    outcome: Outcome
+    replica: str
+    cause: str = ""
+    is_absent: bool = False
+
+
+@dataclass(slots=True)
+class Delivery:
+    """What the caller has received so far, and what the log line tells."""
+
+    request: GatewayRequest
+    route: Route
+    handler: Any
+    start_response: Callable[[str, list[tuple[str, str]]], Callable[[bytes], None]]
+    version: int
+    write: Callable[[bytes], None] | None = None
+    status: int = 0
+    last_event: str = ""
+    first_event_at: float = 0.0
+    bytes_sent: int = 0
+    sends: int = 0
+    asks: int = 0
+    waited_s: float = 0.0
+    replicas: list[str] = field(default_factory=list)
+    causes: list[str] = field(default_factory=list)
+
+    def end(self) -> float:
+        """Return when the request must have its final answer."""
+        request = self.request
+        return min(request.deadline, request.arrived + self.route.timeout_s)
+
+    def left_s(self) -> float:
+        """Return the time until the final answer is due."""
+        return self.end() - END_MARGIN_S - time.monotonic()
+
+
+class Owners(Protocol):
+    """Ask owners and tell them what became of requests."""
+
+    def candidates(self, service: str, name: AdapterName) -> list[Candidate]:
+        """Return the replicas of a service as this host sees them."""
+
+    def ask(self, ask: Ask, left_s: float) -> Granted | RequestTurnedAway | None:
+        """Ask the owner of a replica; None if it does not answer."""
+
+    def first_event(self, replica: str, request_id: str) -> None:
+        """Tell the owner that the engine answered."""
+
+    def finished(self, replica: str, request_id: str, outcome: str) -> None:
+        """Tell the owner the end of a request."""
+
+    def live_hosts(self) -> int:
+        """Return how many hosts share the budget of repeats."""
+
+
+class EntryApplication:
+    """WSGI application for callers."""
+
+    def __init__(
+        self,
+        wire: Wire,
+        state: GatewayState,
+        owners: Owners,
+        budget: RepeatBudget,
+        metrics: Metrics,
+        zone: str,
+    ) -> None:
+        self.wire = wire
+        self.state = state
+        self.owners = owners
+        self.budget = budget
+        self.metrics = metrics
+        self.zone = zone
+        self.health = HealthTable()
+        self.peers: dict[str, HttpPeer] = {}
+        self.running: Counter[str] = Counter()
+        self.reported: dict[str, tuple[float, int]] = {}
+        self.open_requests = 0
+        self.is_stopping = False
+        self.random = random.Random()
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: Callable[..., Any]
+    ) -> list[bytes]:
+        """Answer one request."""
+        handler = environ[HANDLER_KEY]
+        arrived = time.monotonic()
+        self.open_requests += 1
+        request_id = ""
+        try:
+            body = self.read_body(environ)
+            headers = head_pairs(handler.headers.headers)
+            request = self.wire.read_request(
+                environ["REQUEST_METHOD"], handler.path, headers, body, arrived
+            )
+            request_id = request.id
+            return self.serve(request, handler, start_response)
+        except CallerGoneError:
+            log_event(logger, "caller_gone", request=request_id)
+            self.metrics.add("filbertyard_requests_total", rank="", outcome="gone")
+            return handler_aborted(handler)
+        except TooLargeError as error:
+            handler.close_after_response()
+            return self.refuse(start_response, 413, request_id, error.message)
+        except SlowCallerError as error:
+            handler.close_after_response()
+            return self.refuse(start_response, 408, request_id, error.message)
+        except RequestError as error:
+            return self.refuse(start_response, 400, request_id, error.message)
+        finally:
+            self.open_requests -= 1
+
+    def read_body(self, environ: dict[str, Any]) -> bytes:
+        """Read the whole body within its bound; raise RequestError."""
+        limits = self.state.configuration.limits if self.state.configuration else None
+        most = limits.body_bytes if limits is not None else 1 << 22
+        declared = environ.get("CONTENT_LENGTH")
+        if declared and int(declared) > most:
+            raise TooLargeError("body", f"{declared} bytes", f"at most {most}")
+        try:
+            body = bytes(environ["wsgi.input"].read(most + 1))
+        except TimeoutError as error:
+            raise SlowCallerError("body", "incomplete", "whole in time") from error
+        except OSError as error:
+            raise CallerGoneError(str(error)) from error
+        if len(body) > most:
+            raise TooLargeError("body", f"over {most} bytes", f"at most {most}")
+        return body
+
+    def serve(
+        self, request: GatewayRequest, handler: Any, start_response: Callable[..., Any]
+    ) -> list[bytes]:
+        """Route a request and deliver its answer."""
+        configuration = self.state.configuration
+        if configuration is None:
+            return self.refuse(
+                start_response, 503, request.id, "no configuration yet", 1.0
+            )
+        path = request.target.partition("?")[0]
+        route = configuration.find_route(request.host, path)
+        if route is None:
+            log_event(
+                logger,
+                "no_route",
+                request=request.id,
+                path=path[:80],
+                version=configuration.version,
+            )
+            return self.refuse(start_response, 404, request.id, "no route")
+        service = self.pick_service(route)
+        delivery = Delivery(
+            request, route, handler, start_response, configuration.version
+        )
+        self.budget.note_request(service, request.arrived)
+        known = configuration.services.get(service)
+        with handler.watch():
+            if known is not None and known.engine is not None:
+                return self.generate(delivery, service)
+            return self.call_plain(delivery, service)
+
+    def pick_service(self, route: Route) -> str:
+        """Return one service of a route by weight."""
+        if len(route.services) == 1:
+            return route.services[0].service
+        weights = [item.weight for item in route.services]
+        return self.random.choices(route.services, weights)[0].service
+
+    # Model engines.
+
+    def generate(self, delivery: Delivery, service: str) -> list[bytes]:
+        """Run a request on a model engine under a grant of its owner."""
+        request = delivery.request
+        name = request.adapter or AdapterName("", "")
+        excluded: Counter[str] = Counter()
+        retry_after_s = 0.0
+        is_missing = False
+        ran = False
+        while delivery.left_s() > 0:
+            found = [
+                candidate
+                for candidate in self.owners.candidates(service, name)
+                if not excluded[candidate.replica]
+            ]
+            candidate = choose(str(name), found)
+            if candidate is None or delivery.asks >= MAX_ASKS:
+                break
+            delivery.asks += 1
+            replica = self.state.replicas.get(candidate.replica)
+            if replica is None:
+                excluded[candidate.replica] += 1
+                continue
+            granted = self.ask(delivery, candidate, name, is_missing)
+            if isinstance(granted, RequestTurnedAway):
+                delivery.causes.append(granted.cause)
+                retry_after_s = max(retry_after_s, granted.retry_after_s)
+                excluded[candidate.replica] += 1
+                continue
+            if granted is None and not candidate.is_resident:
+                delivery.causes.append("owner_silent")
+                excluded[candidate.replica] += 1
+                continue
+            version = granted.version if granted is not None else 0
+            if granted is not None:
+                delivery.waited_s += granted.waited_s
+            if delivery.sends and not self.may_repeat(delivery, service):
+                self.owners.finished(replica.id, request.id, "not_run")
+                break
+            attempt = self.send_granted(delivery, replica, version)
+            if attempt.outcome == "delivered":
+                return self.done(delivery, "served")
+            delivery.causes.append(attempt.cause)
+            if attempt.outcome == "broken":
+                ran = True
+                if not self.may_resume(delivery, service):
+                    return self.abort(delivery)
+            elif attempt.outcome == "unknown":
+                ran = True
+                if not delivery.route.is_resumable:
+                    break
+                if len(set(delivery.replicas)) >= delivery.route.max_replicas:
+                    break
+            is_missing = attempt.is_absent
+            if not attempt.is_absent:
+                excluded[replica.id] += 1
+        if delivery.write is not None:
+            return self.abort(delivery)
+        if ran:
+            return self.fail(delivery)
+        return self.turn_away(delivery, retry_after_s)
+
+    def ask(
+        self,
+        delivery: Delivery,
+        candidate: Candidate,
+        name: AdapterName,
+        is_missing: bool,
+    ) -> Granted | RequestTurnedAway | None:
+        """Ask a replica's owner for a grant."""
+        request = delivery.request
+        now = time.monotonic()
+        left_s = delivery.left_s()
+        ask = Ask(
+            request_id=request.id,
+            replica=candidate.replica,
+            model=name.model,
+            adapter=name.adapter,
+            rank=delivery.route.rank,
+            objective_s=request.arrived + delivery.route.objective_s - now,
+            deadline_s=left_s,
+            prompt_tokens=request.prompt_tokens,
+            output_tokens=request.output_tokens,
+            is_missing=is_missing,
+        )
+        try:
+            return self.owners.ask(ask, left_s)
+        except BaseException:
+            self.owners.finished(candidate.replica, request.id, "withdrawn")
+            raise
+
+    def send_granted(
+        self, delivery: Delivery, replica: Replica, version: int
+    ) -> Attempt:
+        """Send a granted request and tell the owner its end."""
+        outcome = "unknown"
+        try:
+            route = delivery.route
+            more = (
+                route.is_resumable and len(delivery.replicas) + 1 < route.max_replicas
+            )
+            attempt = self.send(delivery, replica, version, is_last=not more)
+            outcome = {
+                "delivered": "done",
+                "not_run": "absent" if attempt.is_absent else "not_run",
+                "unknown": "failed",
+                "broken": "failed",
+            }[attempt.outcome]
+            if attempt.cause == "unreachable":
+                outcome = "unreachable"
+            return attempt
+        finally:
+            self.owners.finished(replica.id, delivery.request.id, outcome)
+
+    def may_repeat(self, delivery: Delivery, service: str) -> bool:
+        """Take one repeat of the budget."""
+        now = time.monotonic()
+        if self.budget.take(service, self.owners.live_hosts(), now):
+            self.metrics.add("filbertyard_retries_total")
+            return True
+        delivery.causes.append("no_repeat_budget")
+        return False
+
+    def may_resume(self, delivery: Delivery, service: str) -> bool:
+        """Tell if a broken stream may go on at another replica."""
+        route = delivery.route
+        if not route.is_resumable or delivery.left_s() <= 0:
+            return False
+        return len(set(delivery.replicas)) < route.max_replicas
+
+    # Plain services.
+
+    def call_plain(self, delivery: Delivery, service: str) -> list[bytes]:
+        """Run a request on a plain service, on the least loaded replica."""
+        route = delivery.route
+        tried: set[str] = set()
+        ran = False
+        while delivery.left_s() > 0:
+            replica = self.pick_plain(service, tried)
+            if replica is None and tried and not ran:
+                replica = self.pick_plain(service, set())
+            if replica is None:
+                break
+            if delivery.sends and not self.may_repeat(delivery, service):
+                break
+            tried.add(replica.id)
+            more = route.may_repeat and len(tried) < route.max_replicas
+            attempt = self.send(delivery, replica, 0, is_last=not more)
+            if attempt.outcome == "delivered":
+                return self.done(delivery, "served")
+            delivery.causes.append(attempt.cause)
+            if attempt.outcome == "broken":
+                return self.abort(delivery)
+            if attempt.outcome == "unknown":
+                ran = True
+                if not route.may_repeat or len(tried) >= route.max_replicas:
+                    break
+        if ran:
+            return self.fail(delivery)
+        return self.turn_away(delivery, 0.0)
+
+    def pick_plain(self, service: str, tried: set[str]) -> Replica | None:
+        """Return the replica of a plain service with the least load."""
+        now = time.monotonic()
+        usable = {
+            replica.id: replica
+            for replica in self.state.usable(service)
+            if replica.id not in tried
+        }
+        awake = [key for key in usable if not self.health.is_paused(key, now)]
+        candidates = [
+            PlainCandidate(
+                key,
+                self.load_of(key, now),
+                usable[key].slots,
+                self.health.failure_rate(key, now),
+                usable[key].zone == self.zone,
+            )
+            for key in awake or usable
+        ]
+        chosen = choose_plain(candidates, self.random.random())
+        return usable[chosen] if chosen is not None else None
+
+    def load_of(self, replica: str, now: float) -> int:
+        """Return the requests at a replica: its own report while fresh, or ours."""
+        at, running = self.reported.get(replica, (0.0, 0))
+        own = self.running[replica]
+        return max(own, running) if now - at < 0.5 else own
+
+    # One send.
+
+    def peer(self, address: str) -> HttpPeer:
+        """Return the connections to a replica."""
+        peer = self.peers.get(address)
+        if peer is None:
+            peer = self.peers[address] = HttpPeer(
+                address,
+                concurrency=REPLICA_CONNECTIONS,
+                step="send request",
+                max_idle_s=REPLICA_IDLE_S,
+            )
+        return peer
+
+    def send(
+        self,
+        delivery: Delivery,
+        replica: Replica,
+        version: int,
+        *,
+        is_last: bool = True,
+    ) -> Attempt:
+        """Send a request to a replica and deliver its answer."""
+        request, route = delivery.request, delivery.route
+        left_s = delivery.left_s()
+        resume = delivery.last_event
+        if not resume and route.is_resumable:
+            resume = request.resume_after
+        headers = self.wire.request_headers(
+            request, replica.id, left_s, route.rank, version, resume
+        )
+        limit_s = left_s
+        if not is_last:
+            silence_s = max(LEAST_SILENCE_S, SILENCE_OBJECTIVES * route.objective_s)
+            limit_s = min(left_s, max(silence_s, left_s / 3))
+        if left_s <= 0:
+            return Attempt("not_run", replica.id, "deadline")
+        delivery.sends += 1
+        delivery.replicas.append(replica.id)
+        self.running[replica.id] += 1
+        response: HttpResponse | None = None
+        try:
+            response = self.peer(replica.address).request(
+                request.method,
+                request.target,
+                request.body,
+                headers,
+                timeout_s=limit_s,
+            )
+            head = self.wire.read_head(response.status, response.headers)
+            return self.receive(delivery, replica, response, head, is_last)
+        except UpstreamError as error:
+            return self.note_failure(delivery, replica, error)
+        finally:
+            self.running[replica.id] -= 1
+            if response is not None:
+                response.close()
+
+    def note_failure(
+        self, delivery: Delivery, replica: Replica, error: UpstreamError
+    ) -> Attempt:
+        """Log a failed exchange with a replica and judge whether it may have run."""
+        now = time.monotonic()
+        log_event(
+            logger,
+            "send_failed",
+            request=delivery.request.id,
+            replica=replica.id,
+            sent=error.sent,
+            answered=bool(delivery.write),
+            failure_rate=self.health.failure_rate(replica.id, now),
+            error=str(error),
+        )
+        if not error.sent:
+            self.health.note_unreachable(replica.id, now)
+            return Attempt("not_run", replica.id, "unreachable")
+        self.health.note(replica.id, True, now)
+        outcome: Outcome = "broken" if delivery.write is not None else "unknown"
+        return Attempt(outcome, replica.id, error.code or "connection")
+
+    def receive(
+        self,
+        delivery: Delivery,
+        replica: Replica,
+        response: HttpResponse,
+        head: AnswerHead,
+        is_last: bool,
+    ) -> Attempt:
+        """Judge the head of an answer and deliver it; raise UpstreamError."""
+        now = time.monotonic()
+        request = delivery.request
+        if head.running >= 0:
+            self.reported[replica.id] = (now, head.running + head.waiting)
+        if head.is_not_run:
+            response.read()
+            # A full replica is not a failing one; its load tells the rest.
+            log_event(
+                logger,
+                "replica_refused",
+                request=request.id,
+                replica=replica.id,
+                status=head.status,
+                absent=head.is_absent or None,
+                running=head.running,
+                waiting=head.waiting,
+            )
+            cause = "absent" if head.is_absent else "full"
+            return Attempt("not_run", replica.id, cause, head.is_absent)
+        if not head.is_signed or (head.request_id and head.request_id != request.id):
+            raise UpstreamError(
+                f"status {head.status} is not an answer to this request",
+                step="read response",
+                peer=replica.id,
+                sent=True,
+                status=head.status,
+                code="foreign_answer" if head.is_signed else "unsigned",
+            )
+        failed = head.status >= 500
+        if failed and (not is_last or delivery.write is not None):
+            response.read()
+            self.health.note(replica.id, True, now)
+            return Attempt("unknown", replica.id, f"status_{head.status}")
+        self.health.note(replica.id, failed, now)
+        if delivery.route.kind == "stream" and head.status == 200:
+            self.stream(delivery, replica, response)
+        else:
+            self.deliver_whole(delivery, response)
+        return Attempt("delivered", replica.id)
+
+    def deliver_whole(self, delivery: Delivery, response: HttpResponse) -> None:
+        """Deliver an answer with its body complete; raise UpstreamError."""
+        if delivery.left_s() > 0:
+            response.deadline = time.monotonic() + delivery.left_s()
+        body = response.read()
+        headers = self.wire.response_headers(response.headers)
+        headers.append(("Content-Length", str(len(body))))
+        self.begin(delivery, response.status, headers)
+        self.emit(delivery, body)
+
+    def stream(
+        self, delivery: Delivery, replica: Replica, response: HttpResponse
+    ) -> None:
+        """Deliver a stream as it arrives; raise UpstreamError if it breaks."""
+        response.deadline = delivery.end()
+        headers = self.wire.response_headers(response.headers)
+        rest = b""
+        for part in response.parts():
+            if delivery.write is None:
+                delivery.first_event_at = time.monotonic()
+                self.owners.first_event(replica.id, delivery.request.id)
+                self.begin(delivery, response.status, headers)
+            if not delivery.route.is_resumable:
+                self.emit(delivery, part)
+                continue
+            # Only whole events are passed on where another replica may go on.
+            rest += part
+            end = rest.rfind(b"\n\n") + 2
+            if end < 2:
+                continue
+            whole, rest = rest[:end], rest[end:]
+            found = EVENT_ID.findall(whole)
+            if found:
+                delivery.last_event = found[-1].decode("latin-1")
+            self.emit(delivery, whole)
+        if delivery.write is None:
+            self.begin(delivery, response.status, headers)
+        self.emit(delivery, rest)
+
+    def begin(
+        self, delivery: Delivery, status: int, headers: list[tuple[str, str]]
+    ) -> None:
+        """Send the head of the answer with the first part of its body."""
+        phrase = REASONS.get(status, "Unknown")
+        delivery.status = status
+        delivery.write = delivery.start_response(f"{status} {phrase}", headers)
+
+    def emit(self, delivery: Delivery, data: bytes) -> None:
+        """Send a part of the body to the caller."""
+        if data and delivery.write is not None:
+            delivery.write(data)
+            delivery.bytes_sent += len(data)
+
+    # Ends.
+
+    def done(self, delivery: Delivery, outcome: str) -> list[bytes]:
+        """Log and count the end of a request."""
+        now = time.monotonic()
+        request, route = delivery.request, delivery.route
+        first_s = (delivery.first_event_at or now) - request.arrived
+        rank = str(route.rank)
+        self.metrics.add("filbertyard_requests_total", rank=rank, outcome=outcome)
+        if outcome == "served":
+            self.metrics.observe("filbertyard_first_token_seconds", first_s, rank=rank)
+            if first_s <= route.objective_s:
+                self.metrics.add("filbertyard_first_tokens_in_target_total", rank=rank)
+        log_event(
+            logger,
+            "request",
+            request=request.id,
+            route=route.name,
+            rank=route.rank,
+            adapter=request.adapter,
+            configuration=delivery.version,
+            outcome=outcome,
+            status=delivery.status,
+            first_s=first_s,
+            total_s=now - request.arrived,
+            objective_s=route.objective_s,
+            waited_s=delivery.waited_s,
+            asks=delivery.asks or None,
+            sends=delivery.sends,
+            replicas=",".join(delivery.replicas),
+            causes=",".join(delivery.causes),
+        )
+        return []
+
+    def turn_away(self, delivery: Delivery, retry_after_s: float) -> list[bytes]:
+        """Tell the caller that the request did not run and when to return."""
+        left_s = max(0.0, delivery.request.left_s(time.monotonic()))
+        wait_s = min(retry_after_s or DEFAULT_RETRY_S, left_s * RETURN_FRACTION)
+        delivery.status = 503
+        if delivery.left_s() <= 0 and not delivery.causes:
+            delivery.causes.append("deadline")
+        self.done(delivery, "not_run")
+        detail = "not run: " + (",".join(delivery.causes) or "no replica available")
+        return self.refuse(
+            delivery.start_response, 503, delivery.request.id, detail, wait_s
+        )
+
+    def fail(self, delivery: Delivery) -> list[bytes]:
+        """Tell the caller that it is unknown whether the request ran."""
+        status = 504 if delivery.left_s() <= 0 else 502
+        delivery.status = status
+        self.done(delivery, "unknown")
+        detail = "unknown whether it ran: " + ",".join(delivery.causes)
+        return self.refuse(delivery.start_response, status, delivery.request.id, detail)
+
+    def abort(self, delivery: Delivery) -> list[bytes]:
+        """Break an answer that began off, so that it cannot look complete."""
+        self.done(delivery, "broken")
+        return handler_aborted(delivery.handler)
+
+    def refuse(
+        self,
+        start_response: Callable[..., Any],
+        status: int,
+        request_id: str,
+        detail: str,
+        retry_after_s: float = 0.0,
+    ) -> list[bytes]:
+        """Send an answer of the gateway's own."""
+        headers, body = self.wire.refusal(status, request_id, detail, retry_after_s)
+        headers.append(("Content-Length", str(len(body))))
+        start_response(f"{status} {REASONS[status]}", headers)
+        return [body]
+
+
+def head_pairs(lines: list[str]) -> list[tuple[str, str]]:
+    """Return header lines as pairs; repeated headers are joined by commas."""
+    fields: dict[str, tuple[str, str]] = {}
+    for line in lines:
+        name, _, value = line.partition(":")
+        key, value = name.lower(), value.strip()
+        if key in fields:
+            value = f"{fields[key][1]}, {value}"
+        fields[key] = (name, value)
+    return list(fields.values())
+
+
+def handler_aborted(handler: Any) -> list[bytes]:
+    """Close a connection so that its answer is visibly incomplete."""
+    handler.abort()
+    return []
--- /dev/null
+++ b/src/filbertyard/gateway/links.py
@@ -0,0 +1,124 @@
+"""Messages between gateway hosts."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+from typing import Any
+
+from ..messages import Message
+from ..messages import message
+
+
+@message("digest")
+@dataclass(slots=True)
+class Digest(Message):
+    """Tell that a host lives and which revision of each feed it knows."""
+
+    host: str
+    instance: str
+    callers: str
+    zone: str
+    is_leaving: bool
+    revisions: dict[str, int]
+
+
+@message("fetch_feed")
+@dataclass(slots=True)
+class FetchFeed(Message):
+    """Ask for the items of a feed that changed after a revision."""
+
+    prefix: str
+    after: int
+
+
+@message("feed_part")
+@dataclass(slots=True)
+class FeedPart(Message):
+    """Carry items as [key, value, revision] and removals as [key, revision]."""
+
+    items: list[list[Any]]
+    removed: list[list[Any]]
+
+
+@message("ask")
+@dataclass(slots=True)
+class Ask(Message):
+    """Ask the owner of a replica whether a request may be sent there, and wait.
+
+    Times are in seconds from now; `is_missing` tells that the replica has just said
+    that it does not hold the adapter.
+    """
+
+    request_id: str
+    replica: str
+    model: str
+    adapter: str
+    rank: int
+    objective_s: float
+    deadline_s: float
+    prompt_tokens: int
+    output_tokens: int
+    is_missing: bool = False
+
+
+@message("granted")
+@dataclass(slots=True)
+class Granted(Message):
+    """Allow a request to be sent now; `version` 0 leaves the version open."""
+
+    request_id: str
+    version: int = 0
+    waited_s: float = 0.0
+
+
+@message("turned_away")
+@dataclass(slots=True)
+class RequestTurnedAway(Message):
+    """Tell that a request cannot run on a replica in time."""
+
+    request_id: str
+    cause: str
+    retry_after_s: float
+
+
+@message("first_event")
+@dataclass(slots=True)
+class FirstEvent(Message):
+    """Tell that the engine answered a granted request."""
+
+    replica: str
+    request_id: str
+
+
+@message("finished")
+@dataclass(slots=True)
+class Finished(Message):
+    """Tell the end of a granted request, or that a waiting one is given up.
+
+    `outcome` is `done`, `not_run`, `absent`, `failed` or `unreachable`.
+    """
+
+    replica: str
+    request_id: str
+    outcome: str
+
+
+@message("replica_load")
+@dataclass(slots=True)
+class ReplicaLoad(Message):
+    """Publish the load of an owned replica; adapters as [model, adapter].
+
+    `load_wait_s` is the time until a missing adapter could be there, negative if the
+    owner gives no orders now. `loading` adds the rest of each load in seconds.
+    """
+
+    replica: str
+    fence: int
+    wait_s: float
+    token_cost_s: float
+    running: int
+    load_wait_s: float
+    failure_rate: float
+    resident: list[list[str]]
+    loading: list[list[Any]] = field(default_factory=list)
--- /dev/null
+++ b/src/filbertyard/gateway/owner.py
@@ -0,0 +1,534 @@
+"""The owner's side of one engine: grants to hosts, orders to the engine."""
+
+from __future__ import annotations
+
+import logging
+import random
+import time
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass
+from dataclasses import field
+
+import gevent
+from gevent.event import AsyncResult
+from gevent.event import Event
+
+from ..exceptions import DocumentError
+from ..exceptions import UpstreamError
+from ..httpcalls import HttpPeer
+from ..logs import log_event
+from ..metrics import Metrics
+from .adapterplan import AdapterPlan
+from .adapterplan import LoadStep
+from .adapterplan import Step
+from .adapterplan import UnloadStep
+from .admission import EngineQueue
+from .admission import Waiting
+from .health import HealthTable
+from .links import Ask
+from .links import Granted
+from .links import ReplicaLoad
+from .links import RequestTurnedAway
+from .types import AdapterName
+from .types import EngineLimits
+from .types import EngineReport
+from .types import Replica
+from .wire import Order
+from .wire import OrderResult
+from .wire import Wire
+
+logger = logging.getLogger(__name__)
+
+# An order or a report without an answer for this long counts as lost.
+ORDER_TIMEOUT_S = 0.4
+
+# Pause between reports while loads are under way, and after a failed one.
+REPORT_PAUSE_S = 0.08
+REPORT_RETRY_S = 0.3
+
+# The engine's report is read at least this often while requests wait.
+REPORT_AGE_S = 2.0
+
+# Pause before an order is given again after the engine was busy with another.
+BUSY_PAUSE_S = 0.1
+
+# Load of the replica is published at most and at least this often.
+PUBLISH_PAUSE_S = 0.1
+PUBLISH_AGE_S = 1.0
+
+# Longest pause between two looks at the waiting requests.
+TICK_S = 0.25
+
+# A load of a base model is not ordered again within this time.
+MODEL_RETRY_S = 5.0
+
+
+@dataclass(slots=True)
+class Pending:
+    """One request that waits for its grant."""
+
+    waiting: Waiting
+    host: str
+    answer: AsyncResult[Granted | RequestTurnedAway] = field(
+        default_factory=AsyncResult
+    )
+
+
+class ReplicaOwner:
+    """Grants and orders of one engine; `may_order` tells if the claim still holds."""
+
+    def __init__(
+        self,
+        *,
+        replica: Replica,
+        limits: EngineLimits,
+        wire: Wire,
+        host: str,
+        fence: int,
+        releases: dict[AdapterName, int],
+        may_order: Callable[[], bool],
+        publish: Callable[[ReplicaLoad], None],
+        metrics: Metrics,
+    ) -> None:
+        self.replica = replica
+        self.limits = limits
+        self.wire = wire
+        self.host = host
+        self.fence = fence
+        self.may_order = may_order
+        self.publish = publish
+        self.metrics = metrics
+        self.queue = EngineQueue(limits.slots, limits.kv_tokens)
+        self.plan = AdapterPlan(limits.adapter_slots, releases)
+        self.health = HealthTable()
+        self.http = HttpPeer(replica.address, timeout_s=ORDER_TIMEOUT_S, step="order")
+        self.pending: dict[str, Pending] = {}
+        self.hosts: dict[str, str] = {}
+        self.sequence = -1
+        self.born_ms = replica.born_ms
+        self.reported_at = float("-inf")
+        self.model_ordered_at = float("-inf")
+        self.absent: Counter[AdapterName] = Counter()
+        self.changed = Event()
+        self.published_at = 0.0
+        self.dirty = True
+        self.greenlets: list[gevent.Greenlet[..., None]] = []
+
+    def start(self) -> None:
+        """Start the tasks of this replica."""
+        self.greenlets = [gevent.spawn(self.run_orders), gevent.spawn(self.run_grants)]
+
+    def stop(self) -> None:
+        """Stop and turn away what waits."""
+        for greenlet in self.greenlets:
+            greenlet.kill(block=False)
+        for pending in list(self.pending.values()):
+            pending.answer.set(
+                RequestTurnedAway(pending.waiting.id, "owner_changed", 0.0)
+            )
+        self.pending.clear()
+        self.http.close()
+
+    def update(self, replica: Replica) -> None:
+        """Take over a new entry of the replica."""
+        if replica.born_ms != self.born_ms:
+            self.restarted(replica.born_ms)
+        self.replica = replica
+
+    def restarted(self, born_ms: int) -> None:
+        """Forget what the engine held before its restart."""
+        log_event(
+            logger,
+            "replica_restarted",
+            replica=self.replica.id,
+            born=born_ms,
+            known=self.born_ms,
+        )
+        self.born_ms = born_ms
+        self.plan.reset()
+        self.sequence = -1
+        self.reported_at = float("-inf")
+        self.model_ordered_at = float("-inf")
+        self.changed.set()
+
+    # Grants.
+
+    def ask(self, ask: Ask, host: str) -> Granted | RequestTurnedAway:
+        """Wait until a request may be sent or is turned away."""
+        now = time.monotonic()
+        name = AdapterName(ask.model, ask.adapter)
+        if ask.is_missing:
+            self.note_absent(name)
+        waiting = Waiting(
+            id=ask.request_id,
+            adapter=name,
+            rank=ask.rank,
+            arrived=now,
+            objective_at=now + ask.objective_s,
+            deadline=now + ask.deadline_s,
+            prompt_tokens=ask.prompt_tokens,
+            output_tokens=ask.output_tokens,
+        )
+        self.plan.touch(name, now)
+        if not self.plan.is_ready(name) and not self.is_loadable(name):
+            return self.turn_away(waiting, host, "adapter_not_loadable", 0.3)
+        refused = self.queue.offer(waiting, now)
+        if refused is not None:
+            return self.turn_away(waiting, host, refused.cause, refused.retry_after_s)
+        pending = Pending(waiting, host)
+        self.pending[waiting.id] = pending
+        self.grant(now)
+        if not pending.answer.ready():
+            self.changed.set()
+        try:
+            answer = pending.answer.get(timeout=ask.deadline_s)
+        except gevent.Timeout:
+            answer = None
+        finally:
+            self.pending.pop(waiting.id, None)
+        if answer is None:
+            self.queue.withdraw(waiting.id)
+            return RequestTurnedAway(waiting.id, "deadline", 0.0)
+        return answer
+
+    def is_loadable(self, name: AdapterName) -> bool:
+        """Tell if a missing adapter is on its way or can be loaded."""
+        if name in self.plan.loading:
+            return True
+        return self.may_order()
+
+    def turn_away(
+        self, waiting: Waiting, host: str, cause: str, retry_after_s: float
+    ) -> RequestTurnedAway:
+        """Log and return a rejection."""
+        self.metrics.add(
+            "filbertyard_rejections_total", rank=str(waiting.rank), cause=cause
+        )
+        log_event(
+            logger,
+            "request_turned_away",
+            request=waiting.id,
+            replica=self.replica.id,
+            peer=host,
+            cause=cause,
+            adapter=waiting.adapter,
+            waiting=len(self.queue.waiting),
+            started=len(self.queue.started),
+            report_age_s=time.monotonic() - self.reported_at,
+            retry_after_s=retry_after_s,
+        )
+        return RequestTurnedAway(waiting.id, cause, retry_after_s)
+
+    def grant(self, now: float) -> None:
+        """Grant what may start now."""
+        while True:
+            waiting = self.queue.take(now, self.plan.is_ready)
+            if waiting is None:
+                return
+            self.dirty = True
+            pending = self.pending.get(waiting.id)
+            if pending is None:
+                self.queue.finish(waiting.id, now)
+                continue
+            self.plan.acquire(waiting.adapter)
+            self.hosts[waiting.id] = pending.host
+            version = self.plan.releases.get(waiting.adapter, 0)
+            waited_s = now - waiting.arrived
+            self.metrics.observe(
+                "filbertyard_queue_wait_seconds", waited_s, rank=str(waiting.rank)
+            )
+            pending.answer.set(Granted(waiting.id, version, waited_s))
+
+    def first_event(self, request_id: str) -> None:
+        """Take over that the engine answered a request."""
+        now = time.monotonic()
+        self.queue.note_first_event(request_id, now)
+        self.health.note(self.replica.id, False, now)
+        self.dirty = True
+        self.grant(now)
+
+    def finish(self, request_id: str, outcome: str) -> None:
+        """Take over the end of a request."""
+        now = time.monotonic()
+        pending = self.pending.get(request_id)
+        if pending is not None and not pending.answer.ready():
+            self.queue.withdraw(request_id)
+            pending.answer.set(RequestTurnedAway(request_id, "withdrawn", 0.0))
+            return
+        started = self.queue.finish(request_id, now)
+        self.hosts.pop(request_id, None)
+        if started is None:
+            return
+        self.plan.release(started.waiting.adapter)
+        if outcome == "absent":
+            self.note_absent(started.waiting.adapter)
+        elif outcome == "unreachable":
+            self.health.note_unreachable(self.replica.id, now)
+        elif outcome in ("failed", "done"):
+            self.health.note(self.replica.id, outcome == "failed", now)
+        self.dirty = True
+        self.grant(now)
+        self.changed.set()
+
+    def note_absent(self, name: AdapterName) -> None:
+        """Note that the engine said that it does not hold an adapter."""
+        if self.plan.is_ready(name):
+            log_event(logger, "adapter_absent", replica=self.replica.id, adapter=name)
+            # The next report tells what the engine holds instead.
+            self.reported_at = float("-inf")
+            self.absent[name] += 1
+            self.plan.resident.pop(name, None)
+            if not name.adapter:
+                self.plan.models.discard(name.model)
+        self.changed.set()
+
+    def release_host(self, host: str) -> None:
+        """End the grants of a host that is gone."""
+        for request_id in [key for key, value in self.hosts.items() if value == host]:
+            self.finish(request_id, "unknown")
+
+    def run_grants(self) -> None:
+        """Expire what waits too long and publish the load."""
+        while True:
+            gevent.sleep(PUBLISH_PAUSE_S)
+            now = time.monotonic()
+            for waiting in self.queue.expire(now):
+                pending = self.pending.get(waiting.id)
+                if pending is not None:
+                    answer = self.turn_away(waiting, pending.host, "deadline", 0.0)
+                    pending.answer.set(answer)
+            for request_id in self.queue.overdue(now):
+                self.finish(request_id, "unknown")
+            self.grant(now)
+            if self.dirty or now - self.published_at >= PUBLISH_AGE_S:
+                self.published_at = now
+                self.dirty = False
+                self.publish(self.load(now))
+
+    def load(self, now: float) -> ReplicaLoad:
+        """Return the load of the replica as the other hosts need it."""
+        plan = self.plan
+        ready = [name for name in plan.resident if plan.is_ready(name)]
+        ready += [AdapterName(model, "") for model in plan.models]
+        return ReplicaLoad(
+            replica=self.replica.id,
+            fence=self.fence,
+            wait_s=self.queue.wait_s(),
+            token_cost_s=self.queue.token_cost_s,
+            running=len(self.queue.started),
+            load_wait_s=self.load_wait_s(now),
+            failure_rate=self.health.failure_rate(self.replica.id, now)
+            + float(self.health.is_paused(self.replica.id, now)),
+            resident=[[name.model, name.adapter] for name in ready],
+            loading=[
+                [name.model, name.adapter, plan.load_left_s(name, now)]
+                for name in plan.loading
+            ],
+        )
+
+    def load_wait_s(self, now: float) -> float:
+        """Estimate the time to load one more adapter, negative without orders."""
+        if not self.may_order() or not self.plan.models:
+            return -1.0
+        absent = {
+            item.adapter
+            for item in self.queue.waiting
+            if item.adapter not in self.plan.loading
+            and not self.plan.is_ready(item.adapter)
+        }
+        return self.plan.load_wait_s(len(absent), now)
+
+    # Orders.
+
+    def run_orders(self) -> None:
+        """Give one order after the other while the claim holds."""
+        gevent.sleep(random.random() * REPORT_RETRY_S)
+        while True:
+            self.changed.clear()
+            try:
+                pause_s = self.advance()
+            except UpstreamError as error:
+                log_event(
+                    logger,
+                    "replica_call_failed",
+                    level=logging.WARNING,
+                    replica=self.replica.id,
+                    error=str(error),
+                )
+                pause_s = REPORT_RETRY_S
+                gevent.sleep(pause_s)
+            if pause_s > 0:
+                self.changed.wait(timeout=pause_s)
+
+    def advance(self) -> float:
+        """Do the next step and return how long to pause; raise UpstreamError."""
+        now = time.monotonic()
+        needs_report = (
+            self.sequence < 0
+            or self.reported_at == float("-inf")
+            or (self.queue.waiting and now - self.reported_at > REPORT_AGE_S)
+        )
+        if needs_report or self.plan.is_report_due(now):
+            self.read_report()
+            if self.plan.is_report_due(time.monotonic()):
+                gevent.sleep(REPORT_PAUSE_S)
+            return 0.0 if self.plan.loading else 0.001
+        if not self.may_order():
+            return TICK_S
+        if not self.plan.models:
+            return self.load_model(now)
+        names = [item.adapter for item in self.queue.order(now)]
+        step = self.plan.next_step(names, now)
+        if step is None:
+            due = [
+                began + self.plan.load_s - now for began in self.plan.loading.values()
+            ]
+            return max(0.005, min([*due, TICK_S]))
+        self.carry_out(step)
+        return 0.0
+
+    def load_model(self, now: float) -> float:
+        """Order the base model of an empty engine; return how long to pause."""
+        if now - self.model_ordered_at < MODEL_RETRY_S or not self.limits.models:
+            self.reported_at = float("-inf")
+            gevent.sleep(REPORT_RETRY_S)
+            return 0.001
+        model = next(iter(self.limits.models))
+        result = self.order(LoadStep(AdapterName(model, ""), 0))
+        if result in ("accepted", "held"):
+            self.model_ordered_at = now
+            self.sequence += 1
+        self.reported_at = float("-inf")
+        return REPORT_RETRY_S
+
+    def carry_out(self, step: Step) -> None:
+        """Give an order until its outcome is known; raise UpstreamError."""
+        now = time.monotonic()
+        if isinstance(step, UnloadStep) and self.plan.in_use[step.name]:
+            return
+        result = self.order(step)
+        if result in ("busy", "refused", "stale", None):
+            # The sequence tells which order came first; only a report knows it now.
+            gevent.sleep(BUSY_PAUSE_S)
+            self.read_report()
+            return
+        self.dirty = True
+        if isinstance(step, LoadStep):
+            if result == "held":
+                self.plan.resident[step.name] = max(1, step.version)
+                self.grant(now)
+                return
+            self.sequence += 1
+            self.plan.begin_load(step.name, now)
+            return
+        self.sequence += 1
+        if result == "held":
+            self.plan.drop(step.name)
+        else:
+            # The engine still runs requests on it; its place is not free yet.
+            gevent.sleep(BUSY_PAUSE_S)
+            self.read_report()
+
+    def order(self, step: Step) -> OrderResult | None:
+        """Send one order; return None if its outcome is unknown."""
+        kind = "load" if isinstance(step, LoadStep) else "unload"
+        version = step.version if isinstance(step, LoadStep) else 0
+        if version == 1 and step.name not in self.plan.releases:
+            version = 0
+        order = Order(
+            "load" if isinstance(step, LoadStep) else "unload",
+            step.name.model,
+            step.name.adapter,
+            version,
+            self.sequence,
+            self.host,
+            self.fence,
+        )
+        message = self.wire.order(order, self.replica.id)
+        began = time.monotonic()
+        result: OrderResult | None = None
+        error_text = ""
+        if not self.may_order():
+            return None
+        try:
+            response, _ = self.http.exchange(
+                message.method,
+                message.path,
+                message.body,
+                message.headers,
+                timeout_s=ORDER_TIMEOUT_S,
+            )
+            result = self.wire.order_result(response.status)
+        except UpstreamError as error:
+            error_text = str(error)
+        log_event(
+            logger,
+            "order",
+            kind=kind,
+            replica=self.replica.id,
+            adapter=step.name,
+            version=version or None,
+            sequence=self.sequence,
+            fence=self.fence,
+            result=result or "unknown",
+            took_s=time.monotonic() - began,
+            report_age_s=began - self.reported_at,
+            error=error_text,
+        )
+        self.metrics.add(
+            "filbertyard_orders_total", kind=kind, result=result or "unknown"
+        )
+        return result
+
+    def read_report(self) -> None:
+        """Read the engine's report and reconcile; raise UpstreamError."""
+        message = self.wire.report(self.replica.id)
+        response, body = self.http.exchange(
+            message.method,
+            message.path,
+            b"",
+            message.headers,
+            timeout_s=ORDER_TIMEOUT_S,
+        )
+        self.metrics.add("filbertyard_reports_total")
+        if response.status != 200:
+            raise UpstreamError(
+                f"status {response.status}",
+                step="read report",
+                peer=self.replica.address,
+                sent=True,
+                status=response.status,
+            )
+        try:
+            report = self.wire.read_report(body, self.replica.id)
+        except DocumentError as error:
+            raise UpstreamError(
+                error.message, step="read report", peer=self.replica.address, sent=True
+            ) from error
+        self.take_report(report)
+
+    def take_report(self, report: EngineReport) -> None:
+        """Reconcile with a report unless it is older than the last order."""
+        now = time.monotonic()
+        if report.born_ms and report.born_ms != self.born_ms:
+            self.restarted(report.born_ms)
+        if report.sequence < self.sequence:
+            # Reports lag; one from before the last order tells nothing new.
+            gevent.sleep(REPORT_PAUSE_S)
+            return
+        if report.sequence != self.sequence:
+            log_event(
+                logger,
+                "sequence_adopted",
+                replica=self.replica.id,
+                known=self.sequence,
+                reported=report.sequence,
+            )
+        self.sequence = report.sequence
+        self.reported_at = now
+        before = len(self.plan.loading)
+        self.plan.reconcile(report, now)
+        if len(self.plan.loading) != before:
+            self.dirty = True
+        self.grant(now)
--- /dev/null
+++ b/src/filbertyard/gateway/repeats.py
@@ -0,0 +1,76 @@
+"""The share of this host in the fleet's budget of repeated requests.
+
+Load pattern: callers that repeat at once while replicas fail or refuse. Every repeat
+of ours adds to the overload, so repeats are a fraction of the requests, over all hosts.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass
+from dataclasses import field
+
+# Part of the fleet's budget that the hosts spend in sum: their views of the traffic
+# and of the number of hosts differ.
+SPENT_FRACTION = 0.75
+
+# Width of the counting intervals in seconds.
+INTERVAL_S = 0.5
+
+
+@dataclass(slots=True)
+class Window:
+    """Counts within the sliding window."""
+
+    intervals: deque[list[float]] = field(default_factory=deque)
+    requests: int = 0
+    repeats: int = 0
+
+    def advance(self, now: float, window_s: float) -> None:
+        """Forget the intervals that left the window."""
+        while self.intervals and self.intervals[0][0] < now - window_s:
+            _, requests, repeats = self.intervals.popleft()
+            self.requests -= int(requests)
+            self.repeats -= int(repeats)
+
+    def add(self, now: float, requests: int, repeats: int) -> None:
+        """Count requests and repeats."""
+        if not self.intervals or now - self.intervals[-1][0] >= INTERVAL_S:
+            self.intervals.append([now, 0, 0])
+        self.intervals[-1][1] += requests
+        self.intervals[-1][2] += repeats
+        self.requests += requests
+        self.repeats += repeats
+
+
+class RepeatBudget:
+    """Count requests and repeats of each service; times are in seconds."""
+
+    def __init__(self, ratio: float, slack: float, window_s: float) -> None:
+        self.ratio = ratio
+        self.slack = slack
+        self.window_s = window_s
+        self.windows: dict[str, Window] = {}
+
+    def window(self, service: str, now: float) -> Window:
+        """Return the window of a service up to now."""
+        window = self.windows.setdefault(service, Window())
+        window.advance(now, self.window_s)
+        return window
+
+    def note_request(self, service: str, now: float) -> None:
+        """Count a request of a caller."""
+        self.window(service, now).add(now, 1, 0)
+
+    def allowed(self, service: str, hosts: int, now: float) -> float:
+        """Return how many repeats the window has left, with `hosts` hosts alive."""
+        window = self.window(service, now)
+        budget = self.ratio * window.requests + self.slack / max(1, hosts)
+        return SPENT_FRACTION * budget - window.repeats
+
+    def take(self, service: str, hosts: int, now: float) -> bool:
+        """Count one repeat if the budget has room for it."""
+        if self.allowed(service, hosts, now) < 1.0:
+            return False
+        self.window(service, now).add(now, 0, 1)
+        return True
--- /dev/null
+++ b/src/filbertyard/gateway/state.py
@@ -0,0 +1,303 @@
+"""What one gateway host believes: configuration, replicas, hosts and owners."""
+
+from __future__ import annotations
+
+import json
+import logging
+from collections.abc import Callable
+from collections.abc import Iterable
+
+from ..exceptions import DocumentError
+from ..keyvalue import Item
+from ..logs import log_event
+from .types import AdapterName
+from .types import Configuration
+from .types import HostRecord
+from .types import OwnerRecord
+from .types import Replica
+from .wire import Wire
+
+logger = logging.getLogger(__name__)
+
+# Keys of this product in the store.
+OWN_PREFIX = "filbertyard/"
+HOST_PREFIX = OWN_PREFIX + "hosts/"
+OWNER_PREFIX = OWN_PREFIX + "owners/"
+
+# Removals are remembered for peers that missed them, this many for each feed.
+MAX_REMOVALS = 500
+
+# A replica whose entry lapsed during an outage of the store is kept for this long after
+# the store's return; a live one writes its entry again within about two seconds.
+LAPSE_GRACE_S = 2.0
+
+
+class Feed:
+    """The newest known items below one prefix, with removals."""
+
+    def __init__(self, prefix: str) -> None:
+        self.prefix = prefix
+        self.items: dict[str, Item] = {}
+        self.removed: dict[str, int] = {}
+        self.revision = 0
+
+    def put(self, item: Item) -> bool:
+        """Take over an item if it is newer; tell if it was."""
+        known = self.items.get(item.key)
+        if known is not None and known.mod_revision >= item.mod_revision:
+            return False
+        if self.removed.get(item.key, 0) >= item.mod_revision:
+            return False
+        self.items[item.key] = item
+        self.removed.pop(item.key, None)
+        self.revision = max(self.revision, item.mod_revision)
+        return True
+
+    def remove(self, key: str, revision: int) -> bool:
+        """Take over a removal if it is newer; tell if it was."""
+        known = self.items.get(key)
+        if known is not None and known.mod_revision > revision:
+            return False
+        if self.removed.get(key, 0) >= revision:
+            return False
+        self.items.pop(key, None)
+        self.removed[key] = revision
+        while len(self.removed) > MAX_REMOVALS:
+            del self.removed[next(iter(self.removed))]
+        self.revision = max(self.revision, revision)
+        return known is not None
+
+
+class GatewayState:
+    """Feeds and what they mean; `now` of the caller is on the monotonic clock."""
+
+    def __init__(self, wire: Wire) -> None:
+        self.wire = wire
+        layout = wire.layout
+        self.operator = Feed(layout.operator_prefix)
+        self.entries = Feed(layout.replica_prefix)
+        self.own = Feed(OWN_PREFIX)
+        self.feeds = {feed.prefix: feed for feed in self.feed_list()}
+        self.configuration: Configuration | None = None
+        self.releases: dict[AdapterName, int] = {}
+        self.release_times: dict[AdapterName, float] = {}
+        self.replicas: dict[str, Replica] = {}
+        self.lapsed: dict[str, float] = {}
+        self.hosts: dict[str, HostRecord] = {}
+        self.owners: dict[str, OwnerRecord] = {}
+        self.missing_since: dict[str, float] = {}
+        self.store_disturbed_at = float("-inf")
+        self.listeners: list[Callable[[], None]] = []
+
+    def feed_list(self) -> list[Feed]:
+        """Return the feeds."""
+        return [self.operator, self.entries, self.own]
+
+    def put(self, feed: Feed, item: Item, now: float, source: str) -> None:
+        """Take over an item from the store or a peer."""
+        if not feed.put(item):
+            return
+        if feed is self.operator:
+            self.put_operator(item, now, source)
+        elif feed is self.entries:
+            self.put_replica(item, source)
+        else:
+            self.put_own(item, now, source)
+        self.notify()
+
+    def remove(
+        self, feed: Feed, key: str, revision: int, now: float, source: str
+    ) -> None:
+        """Take over a removal from the store or a peer."""
+        if not feed.remove(key, revision):
+            return
+        if feed is self.entries:
+            self.remove_replica(key, revision, now, source)
+        elif feed is self.own:
+            self.remove_own(key, now, source)
+        self.notify()
+
+    def replace(
+        self, feed: Feed, items: Iterable[Item], revision: int, now: float
+    ) -> None:
+        """Take over a whole reading of a feed at `revision`."""
+        found = {item.key: item for item in items}
+        for item in found.values():
+            self.put(feed, item, now, "store")
+        for key, known in list(feed.items.items()):
+            if key not in found and known.mod_revision <= revision:
+                self.remove(feed, key, revision, now, "store")
+
+    def notify(self) -> None:
+        """Tell those who wait for changes."""
+        for listener in self.listeners:
+            listener()
+
+    def put_operator(self, item: Item, now: float, source: str) -> None:
+        """Take over a configuration or the announcement of a version."""
+        layout = self.wire.layout
+        try:
+            if item.key == layout.configuration_key:
+                self.configuration = self.wire.read_configuration(item)
+                log_event(
+                    logger,
+                    "configuration_in_force",
+                    version=self.configuration.version,
+                    revision=item.mod_revision,
+                    source=source,
+                )
+            elif item.key.startswith(layout.version_prefix):
+                name, version = self.wire.read_release(item)
+                if version > self.releases.get(name, 0):
+                    self.releases[name] = version
+                    self.release_times[name] = now
+                    log_event(
+                        logger,
+                        "version_announced",
+                        adapter=name,
+                        version=version,
+                        revision=item.mod_revision,
+                        source=source,
+                    )
+        except DocumentError as error:
+            log_event(
+                logger, "document_rejected", level=logging.WARNING, error=str(error)
+            )
+
+    def put_replica(self, item: Item, source: str) -> None:
+        """Take over a replica's entry."""
+        name = item.key.removeprefix(self.entries.prefix)
+        try:
+            replica = self.wire.read_replica(item)
+        except DocumentError as error:
+            # An entry that cannot be read names no replica to use.
+            self.replicas.pop(name, None)
+            log_event(
+                logger, "document_rejected", level=logging.WARNING, error=str(error)
+            )
+            return
+        known = self.replicas.get(name)
+        self.replicas[name] = replica
+        self.lapsed.pop(name, None)
+        if (
+            known is None
+            or known.is_leaving != replica.is_leaving
+            or known.born_ms != replica.born_ms
+        ):
+            log_event(
+                logger,
+                "replica_listed",
+                replica=name,
+                service=replica.service,
+                address=replica.address,
+                leaving=replica.is_leaving,
+                born=replica.born_ms,
+                revision=item.mod_revision,
+                source=source,
+            )
+
+    def remove_replica(self, key: str, revision: int, now: float, source: str) -> None:
+        """Stop using a replica, or keep it for a moment after an outage."""
+        name = key.removeprefix(self.entries.prefix)
+        if name not in self.replicas:
+            return
+        kept = now - self.store_disturbed_at < LAPSE_GRACE_S
+        if kept:
+            self.lapsed[name] = now + LAPSE_GRACE_S
+        else:
+            del self.replicas[name]
+        log_event(
+            logger,
+            "replica_removed",
+            replica=name,
+            revision=revision,
+            kept_s=LAPSE_GRACE_S if kept else None,
+            source=source,
+        )
+
+    def expire_lapsed(self, now: float) -> None:
+        """Stop using replicas whose entries did not come back."""
+        for name, until in list(self.lapsed.items()):
+            if now >= until:
+                del self.lapsed[name]
+                self.replicas.pop(name, None)
+                log_event(logger, "replica_gone", replica=name)
+
+    def put_own(self, item: Item, now: float, source: str) -> None:
+        """Take over a host's record or the owner of a replica."""
+        try:
+            value = json.loads(item.value)
+            if item.key.startswith(HOST_PREFIX):
+                host = HostRecord(
+                    id=item.key.removeprefix(HOST_PREFIX),
+                    instance=str(value["instance"]),
+                    callers=str(value["callers"]),
+                    availability_zone=str(value["zone"]),
+                    is_leaving=bool(value["leaving"]),
+                )
+                known = self.hosts.get(host.id)
+                self.hosts[host.id] = host
+                self.missing_since.pop(host.id, None)
+                if known != host:
+                    log_event(
+                        logger,
+                        "host_listed",
+                        peer=host.id,
+                        instance=host.instance,
+                        leaving=host.is_leaving,
+                        revision=item.mod_revision,
+                        source=source,
+                    )
+            elif item.key.startswith(OWNER_PREFIX):
+                owner = OwnerRecord(
+                    replica=item.key.removeprefix(OWNER_PREFIX),
+                    host=str(value["host"]),
+                    instance=str(value["instance"]),
+                    fence=item.mod_revision,
+                    is_released=bool(value["released"]),
+                )
+                self.owners[owner.replica] = owner
+                log_event(
+                    logger,
+                    "owner_listed",
+                    replica=owner.replica,
+                    owner=owner.host,
+                    fence=owner.fence,
+                    released=owner.is_released or None,
+                    source=source,
+                )
+        except (ValueError, KeyError, TypeError) as error:
+            log_event(
+                logger,
+                "document_rejected",
+                level=logging.WARNING,
+                key=item.key,
+                error=repr(error),
+            )
+
+    def remove_own(self, key: str, now: float, source: str) -> None:
+        """Forget a host's record or the owner of a replica."""
+        if key.startswith(HOST_PREFIX):
+            name = key.removeprefix(HOST_PREFIX)
+            self.hosts.pop(name, None)
+            self.missing_since[name] = now
+            log_event(logger, "host_removed", peer=name, source=source)
+        elif key.startswith(OWNER_PREFIX):
+            self.owners.pop(key.removeprefix(OWNER_PREFIX), None)
+
+    def release_age_s(self, name: AdapterName, now: float) -> float:
+        """Return how long ago the newest version of an adapter became known."""
+        return now - self.release_times.get(name, now)
+
+    def usable(self, service: str) -> list[Replica]:
+        """Return the replicas of a service that take new requests."""
+        return [
+            replica
+            for replica in self.replicas.values()
+            if replica.service == service and not replica.is_leaving
+        ]
+
+
+def create_gateway_state(wire: Wire) -> GatewayState:
+    """Return the state of a host that knows nothing yet."""
+    return GatewayState(wire)
--- /dev/null
+++ b/src/filbertyard/gateway/sync.py
@@ -0,0 +1,170 @@
+"""Keep the state of a host up to date from the store and, without it, from peers."""
+
+from __future__ import annotations
+
+import logging
+import random
+import time
+
+import gevent
+from result import Err
+
+from ..exceptions import FilbertyardError
+from ..exceptions import HistoryLostError
+from ..keyvalue import Item
+from ..keyvalue import KeyValue
+from ..logs import log_event
+from ..peers import PeerNetwork
+from .links import FeedPart
+from .links import FetchFeed
+from .state import Feed
+from .state import GatewayState
+
+logger = logging.getLogger(__name__)
+
+# How long a watch of a feed waits for a change. Shorter than the time in which the
+# store forgets its history.
+WATCH_WAIT_S = 10.0
+
+# Pause after each answer of a watch. Replicas write often; their changes are taken
+# together. The bound for a leaving replica is two seconds.
+ENTRY_PAUSE_S = 0.6
+OPERATOR_PAUSE_S = 0.05
+OWN_PAUSE_S = 0.2
+
+# Pause after a failed call of the store, with as much again at random.
+RETRY_PAUSE_S = 0.25
+
+# A peer is asked for what this host missed after this time without the change.
+PEER_GRACE_S = 0.3
+
+FETCH_TIMEOUT_S = 1.0
+
+
+class FeedWatcher:
+    """Follow one feed in the store."""
+
+    def __init__(
+        self, state: GatewayState, feed: Feed, store: KeyValue, pause_s: float
+    ) -> None:
+        self.state = state
+        self.feed = feed
+        self.store = store
+        self.pause_s = pause_s
+        self.is_connected = False
+        self.read_once = False
+
+    def run(self) -> None:
+        """Read the feed and then its changes, for ever."""
+        while True:
+            try:
+                self.follow()
+            except HistoryLostError as error:
+                log_event(
+                    logger, "feed_history_lost", feed=self.feed.prefix, error=str(error)
+                )
+            except FilbertyardError as error:
+                self.note_lost(error)
+                gevent.sleep(RETRY_PAUSE_S * (1 + random.random()))
+
+    def follow(self) -> None:
+        """Read the whole feed, then follow its changes; raise KeyValueError."""
+        found = self.store.range(self.feed.prefix, prefix=True)
+        self.note_connected()
+        now = time.monotonic()
+        self.state.replace(self.feed, found.items, found.revision, now)
+        self.read_once = True
+        self.state.notify()
+        changes = self.store.watch(self.feed.prefix, found.revision + 1, WATCH_WAIT_S)
+        for events in changes:
+            self.note_connected()
+            now = time.monotonic()
+            for event in events:
+                if event.kind == "put":
+                    self.state.put(self.feed, event.item, now, "store")
+                else:
+                    item = event.item
+                    self.state.remove(
+                        self.feed, item.key, item.mod_revision, now, "store"
+                    )
+            if events:
+                gevent.sleep(self.pause_s)
+
+    def note_connected(self) -> None:
+        """Note that the store answered."""
+        if not self.is_connected:
+            self.is_connected = True
+            log_event(logger, "feed_connected", feed=self.feed.prefix)
+
+    def note_lost(self, error: FilbertyardError) -> None:
+        """Note that the store did not answer."""
+        self.state.store_disturbed_at = time.monotonic()
+        if self.is_connected or not self.read_once:
+            log_event(
+                logger,
+                "feed_lost",
+                level=logging.WARNING,
+                feed=self.feed.prefix,
+                error=str(error),
+            )
+        self.is_connected = False
+
+
+class PeerSync:
+    """Fetch from peers what the store does not tell this host."""
+
+    def __init__(self, state: GatewayState, peers: PeerNetwork) -> None:
+        self.state = state
+        self.peers = peers
+        self.behind_since: dict[str, float] = {}
+        self.fetching: set[str] = set()
+        peers.handle(FetchFeed, self.answer_fetch)
+
+    def note_revisions(self, peer: str, revisions: dict[str, int], now: float) -> None:
+        """Compare a peer's revisions with those known here; fetch what is missing."""
+        for prefix, revision in revisions.items():
+            feed = self.state.feeds.get(prefix)
+            if feed is None or revision <= feed.revision:
+                self.behind_since.pop(prefix, None)
+                continue
+            since = self.behind_since.setdefault(prefix, now)
+            if now - since >= PEER_GRACE_S and prefix not in self.fetching:
+                self.fetching.add(prefix)
+                gevent.spawn(self.fetch, peer, feed)
+
+    def fetch(self, peer: str, feed: Feed) -> bool:
+        """Fetch the changes that a peer knows; tell if it answered."""
+        try:
+            answer = self.peers.call(
+                peer, FetchFeed(feed.prefix, feed.revision), FETCH_TIMEOUT_S
+            )
+        finally:
+            self.fetching.discard(feed.prefix)
+        if isinstance(answer, Err) or not isinstance(answer.ok_value, FeedPart):
+            return False
+        part = answer.ok_value
+        now = time.monotonic()
+        for key, value, revision in part.items:
+            self.state.put(feed, Item(key, value, 0, revision), now, peer)
+        for key, revision in part.removed:
+            self.state.remove(feed, key, revision, now, peer)
+        return True
+
+    def answer_fetch(self, peer: str, request: FetchFeed) -> FeedPart:
+        """Return what a peer misses of a feed."""
+        feed = self.state.feeds.get(request.prefix)
+        if feed is None:
+            return FeedPart([], [])
+        after = request.after
+        return FeedPart(
+            [
+                [item.key, item.value, item.mod_revision]
+                for item in feed.items.values()
+                if item.mod_revision > after
+            ],
+            [
+                [key, revision]
+                for key, revision in feed.removed.items()
+                if revision > after
+            ],
+        )
--- /dev/null
+++ b/src/filbertyard/gateway/tenure.py
@@ -0,0 +1,176 @@
+"""When this host may give orders to a replica.
+
+Failures answered: the owner is frozen, cut off, killed or cannot reach the store while
+another host takes over. Two hosts must not give orders to one replica within the order
+gap, also where the replica does not check fencing tokens. The owner stops by itself
+when it could not renew for `TENURE_S`; a successor waits that long and the order gap.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+import xxhash
+
+from .types import HostRecord
+from .types import OwnerRecord
+
+# An owner gives orders for this long after the sending of its last renewal. Longer
+# than usual outages of the store, in which nobody can take over either.
+TENURE_S = 8.0
+
+# Margin for timers that fire late and for orders on their way.
+GUARD_S = 0.5
+
+# Time to live of a host's lease in the store.
+HOST_LEASE_S = 3
+
+# A host counts as lost when its record has been missing for this long; the record of
+# a host that lives comes back within two renewals after an outage.
+MISSING_S = 3.0
+
+# Hosts that may claim the same replica do so one after the other.
+CLAIM_STAGGER_S = 0.7
+
+
+@dataclass(frozen=True, slots=True)
+class Claim:
+    """One replica that this host owns; orders may begin at `not_before`."""
+
+    fence: int
+    not_before: float
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimDecision:
+    """Claim a replica; `revision` is that of the record replaced, 0 for none."""
+
+    replica: str
+    revision: int
+    wait_s: float
+    cause: str
+
+
+class Tenure:
+    """The claims of this host; times are on a clock that counts suspended time."""
+
+    def __init__(self, order_gap_s: float) -> None:
+        self.order_gap_s = order_gap_s
+        self.renewed_at = float("-inf")
+        self.claims: dict[str, Claim] = {}
+
+    def renew(self, sent_at: float) -> None:
+        """Note that the store confirmed what was sent at `sent_at`."""
+        self.renewed_at = max(self.renewed_at, sent_at)
+
+    def is_valid(self, now: float) -> bool:
+        """Tell if no other host can have begun to give orders."""
+        return now < self.renewed_at + TENURE_S - GUARD_S
+
+    def may_order(self, replica: str, now: float) -> bool:
+        """Tell if an order to a replica may be sent now."""
+        claim = self.claims.get(replica)
+        return claim is not None and now >= claim.not_before and self.is_valid(now)
+
+    def add(self, replica: str, fence: int, not_before: float) -> None:
+        """Note a claim that the store accepted."""
+        self.claims[replica] = Claim(fence, not_before)
+
+    def keep(
+        self, records: Mapping[str, OwnerRecord], host: str, instance: str
+    ) -> None:
+        """Drop the claims whose records name another host or are gone."""
+        for replica in list(self.claims):
+            record = records.get(replica)
+            if record is None or (record.host, record.instance) != (host, instance):
+                del self.claims[replica]
+
+    def succession_wait_s(self) -> float:
+        """Return how long a successor of a silent owner waits after its claim."""
+        return TENURE_S + self.order_gap_s + GUARD_S
+
+
+def decide_claims(
+    *,
+    host: HostRecord,
+    replicas: Iterable[str],
+    owners: Mapping[str, OwnerRecord],
+    hosts: Mapping[str, HostRecord],
+    missing_since: Mapping[str, float],
+    unowned_since: Mapping[str, float],
+    reachable: set[str],
+    tenure: Tenure,
+    now: float,
+) -> list[ClaimDecision]:
+    """Return the replicas that this host should claim now.
+
+    Replicas without an owner go to the live hosts that own least, so that the loss of
+    one host leaves few replicas without orders.
+    """
+    live = {key for key, record in hosts.items() if not record.is_leaving}
+    if host.is_leaving or host.id not in live:
+        return []
+    owned = {key: 0 for key in live}
+    for record in owners.values():
+        if record.host in owned and not record.is_released:
+            owned[record.host] += 1
+    decisions = []
+    for replica in sorted(replicas):
+        known = owners.get(replica)
+        cause = claim_cause(known, host, hosts, missing_since, reachable, now)
+        if not cause:
+            continue
+        if cause != "restarted":
+            order = sorted(
+                live,
+                key=lambda key: (
+                    owned[key],
+                    -xxhash.xxh64_intdigest(f"{replica}|{key}"),
+                ),
+            )
+            place = order.index(host.id)
+            since = unowned_since.get(replica, now)
+            if now < since + place * CLAIM_STAGGER_S:
+                owned[order[0]] += 1
+                continue
+        owned[host.id] += 1
+        decisions.append(
+            ClaimDecision(
+                replica,
+                known.fence if known is not None else 0,
+                {
+                    "new": 0.0,
+                    "restarted": 0.0,
+                    "released": tenure.order_gap_s + GUARD_S,
+                    "lost": tenure.succession_wait_s(),
+                }[cause],
+                cause,
+            )
+        )
+    return decisions
+
+
+def claim_cause(
+    record: OwnerRecord | None,
+    host: HostRecord,
+    hosts: Mapping[str, HostRecord],
+    missing_since: Mapping[str, float],
+    reachable: set[str],
+    now: float,
+) -> str:
+    """Return why a replica may be claimed, empty if it may not."""
+    if record is None:
+        return "new"
+    if record.host == host.id:
+        # Orders of an earlier process of this host are orders of the same owner.
+        return "" if record.instance == host.instance else "restarted"
+    if record.host in hosts and not record.is_released:
+        return ""
+    if record.is_released:
+        return "released"
+    since = missing_since.get(record.host)
+    if since is None or now - since < MISSING_S or record.host in reachable:
+        return ""
+    return "lost"
--- /dev/null
+++ b/src/filbertyard/gateway/types.py
@@ -0,0 +1,199 @@
+"""What a gateway host knows of routes, services, replicas and requests."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+from typing import Literal
+from typing import NamedTuple
+
+RequestKind = Literal["idempotent", "non_idempotent", "stream"]
+
+
+class AdapterName(NamedTuple):
+    """One adapter of a base model; an empty `adapter` is the model itself."""
+
+    model: str
+    adapter: str
+
+    def __str__(self) -> str:
+        return f"{self.model}/{self.adapter}" if self.adapter else self.model
+
+
+@dataclass(frozen=True, slots=True)
+class WeightedService:
+    """One service behind a route and its share of the requests."""
+
+    service: str
+    weight: float
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """How requests of one host and path prefix are served; rank 0 is most urgent."""
+
+    name: str
+    host: str
+    prefix: str
+    kind: RequestKind
+    timeout_s: float
+    objective_s: float
+    rank: int
+    services: tuple[WeightedService, ...]
+    max_replicas: int
+    is_resumable: bool = False
+
+    @property
+    def may_repeat(self) -> bool:
+        """Tell if a request may run a second time from its start."""
+        return self.kind == "idempotent"
+
+
+@dataclass(frozen=True, slots=True)
+class ModelLimits:
+    """Sizes and load time of one base model."""
+
+    weights_mb: float
+    load_s: float
+    adapter_mb: float
+
+
+@dataclass(frozen=True, slots=True)
+class EngineLimits:
+    """What one replica of a model engine holds and runs at once."""
+
+    slots: int
+    kv_tokens: int
+    adapter_slots: int
+    weights_mb: float
+    models: dict[str, ModelLimits]
+
+
+@dataclass(frozen=True, slots=True)
+class Service:
+    """One service; `engine` is None for a plain one."""
+
+    name: str
+    max_connections: int
+    engine: EngineLimits | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class RequestLimits:
+    """What callers may send; times are in seconds."""
+
+    head_bytes: int
+    body_bytes: int
+    head_s: float
+    idle_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Configuration:
+    """Routes and services of one version; `revision` is the store's."""
+
+    version: int
+    revision: int
+    routes: tuple[Route, ...]
+    services: dict[str, Service]
+    limits: RequestLimits | None
+    by_host: dict[str, tuple[Route, ...]] = field(default_factory=dict)
+
+    def find_route(self, host: str, path: str) -> Route | None:
+        """Return the route of `host` with the longest prefix of `path`."""
+        for route in self.by_host.get(host, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+
+def create_configuration(
+    version: int,
+    revision: int,
+    routes: tuple[Route, ...],
+    services: dict[str, Service],
+    limits: RequestLimits | None,
+) -> Configuration:
+    """Return a configuration with its routes in order of matching."""
+    by_host: dict[str, list[Route]] = {}
+    for route in routes:
+        by_host.setdefault(route.host, []).append(route)
+    ordered = {
+        host: tuple(sorted(found, key=lambda route: -len(route.prefix)))
+        for host, found in by_host.items()
+    }
+    return Configuration(version, revision, routes, services, limits, ordered)
+
+
+@dataclass(frozen=True, slots=True)
+class Replica:
+    """One incarnation of a replica; `born_ms` is its start in Unix milliseconds."""
+
+    id: str
+    service: str
+    address: str
+    zone: str
+    slots: int
+    is_leaving: bool
+    born_ms: int
+    revision: int
+    models: dict[str, int] = field(default_factory=dict)
+    adapters: dict[AdapterName, int] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class EngineReport:
+    """What a model engine says it holds; some hundred milliseconds old."""
+
+    sequence: int
+    is_busy: bool
+    models: dict[str, int]
+    adapters: dict[AdapterName, int]
+    pending: dict[AdapterName, int]
+    born_ms: int = 0
+    running: int = 0
+    waiting: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class HostRecord:
+    """One gateway host as registered in the store; its id is its address for peers."""
+
+    id: str
+    instance: str
+    callers: str
+    availability_zone: str
+    is_leaving: bool
+
+
+@dataclass(frozen=True, slots=True)
+class OwnerRecord:
+    """Which host gives orders to a replica; `fence` rises with every claim."""
+
+    replica: str
+    host: str
+    instance: str
+    fence: int
+    is_released: bool = False
+
+
+@dataclass(slots=True)
+class GatewayRequest:
+    """One request of a caller, decoded; times are on the monotonic clock."""
+
+    id: str
+    host: str
+    method: str
+    target: str
+    headers: list[tuple[str, str]]
+    body: bytes
+    arrived: float
+    deadline: float
+    adapter: AdapterName | None = None
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+    resume_after: str = ""
+
+    def left_s(self, now: float) -> float:
+        """Return the time until the deadline."""
+        return self.deadline - now
--- /dev/null
+++ b/src/filbertyard/gateway/wire.py
@@ -0,0 +1,138 @@
+"""What the gateway needs of an external interface."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Literal
+from typing import Protocol
+
+from ..keyvalue import Item
+from .types import AdapterName
+from .types import Configuration
+from .types import EngineReport
+from .types import GatewayRequest
+from .types import Replica
+
+# accepted: carried out or being carried out; busy: another order is in progress or
+# the sequence differs; stale: a newer owner was seen; refused: not this replica, or an
+# order that it does not know.
+OrderResult = Literal["held", "accepted", "busy", "stale", "refused"]
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerHead:
+    """The head of a replica's answer, decoded.
+
+    `is_not_run` is the replica's own word that it did not and will not run the
+    request; `is_absent` that it does not hold the adapter or is another replica.
+    """
+
+    status: int
+    request_id: str
+    is_signed: bool
+    is_not_run: bool
+    is_absent: bool
+    running: int = -1
+    waiting: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Order:
+    """One order to a model engine; `sequence` is the count that it must find."""
+
+    kind: Literal["load", "unload"]
+    model: str
+    adapter: str
+    version: int
+    sequence: int
+    owner: str
+    fence: int
+
+
+@dataclass(frozen=True, slots=True)
+class HttpMessage:
+    """Method, path, headers and body of a call to a replica."""
+
+    method: str
+    path: str
+    headers: Mapping[str, str]
+    body: bytes = b""
+
+
+@dataclass(frozen=True, slots=True)
+class Layout:
+    """Where the operator and the replicas write in the key-value service."""
+
+    operator_prefix: str
+    configuration_key: str
+    version_prefix: str
+    replica_prefix: str
+
+
+class Wire(Protocol):
+    """Translate between the product's types and one platform's messages."""
+
+    layout: Layout
+
+    def read_request(
+        self,
+        method: str,
+        target: str,
+        headers: list[tuple[str, str]],
+        body: bytes,
+        arrived: float,
+    ) -> GatewayRequest:
+        """Decode a caller's request; raise RequestError."""
+
+    def request_headers(
+        self,
+        request: GatewayRequest,
+        replica: str,
+        left_s: float,
+        rank: int,
+        version: int,
+        resume_after: str,
+    ) -> dict[str, str]:
+        """Return the headers for a replica; `version` 0 leaves the choice to it."""
+
+    def read_head(self, status: int, headers: list[tuple[str, str]]) -> AnswerHead:
+        """Decode the head of a replica's answer."""
+
+    def response_headers(self, headers: list[tuple[str, str]]) -> list[tuple[str, str]]:
+        """Return the headers of a replica's answer that go on to the caller."""
+
+    def refusal(
+        self, status: int, request_id: str, detail: str, retry_after_s: float
+    ) -> tuple[list[tuple[str, str]], bytes]:
+        """Return headers and body of an answer of the gateway's own."""
+
+    def addresses(self, addresses: list[str], ttl_s: float) -> bytes:
+        """Return the body that tells callers where to connect."""
+
+    def is_address_query(self, path: str) -> bool:
+        """Tell if a path asks where to connect."""
+
+    def is_readiness_query(self, path: str) -> bool:
+        """Tell if a path asks whether this host is ready."""
+
+    def order(self, order: Order, replica: str) -> HttpMessage:
+        """Return the call that gives an order."""
+
+    def order_result(self, status: int) -> OrderResult | None:
+        """Return what a replica answered to an order, None if unknown."""
+
+    def report(self, replica: str) -> HttpMessage:
+        """Return the call that reads an engine's report."""
+
+    def read_report(self, body: bytes, replica: str) -> EngineReport:
+        """Decode an engine's report; raise DocumentError."""
+
+    def read_configuration(self, item: Item) -> Configuration:
+        """Decode the operator's configuration; raise DocumentError."""
+
+    def read_replica(self, item: Item) -> Replica:
+        """Decode a replica's entry; raise DocumentError."""
+
+    def read_release(self, item: Item) -> tuple[AdapterName, int]:
+        """Decode the announcement of an adapter's version; raise DocumentError."""
--- a/src/filbertyard/httpcalls.py
+++ b/src/filbertyard/httpcalls.py
@@ -5,6 +5,7 @@
 import json
 import socket
 import time
+from collections.abc import Callable
 from collections.abc import Iterator
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -23,6 +24,49 @@
 
 READ_BLOCK_BYTES = 65536
 
+# A kept connection that rested longer is not used again: servers may drop idle
+# connections without notice, and a request on such a connection has an unknown end.
+MAX_IDLE_S = 60.0
+
+FIRST_FINAL_STATUS = 200
+
+
+class SingleResponse(HTTPSocketPoolResponse):
+    """A response that ignores whatever follows it on its connection.
+
+    The library's parser would take a second response in the same segment for a
+    continuation and append its body.
+    """
+
+    final_code = 0
+
+    @property
+    def status_code(self) -> int:
+        """Return the status of this response, also after bytes that follow it."""
+        return self.final_code or int(self.get_code())
+
+    def _on_headers_complete(self) -> int | bool | None:
+        code = int(self.get_code())
+        if code >= FIRST_FINAL_STATUS:
+            self.final_code = code
+        return super()._on_headers_complete()
+
+    def _on_message_begin(self) -> None:
+        if self.message_complete and self.final_code:
+            raise HTTPParseError("bytes follow the response")
+        super()._on_message_begin()
+
+    def feed(self, data: Any) -> None:
+        """Parse received bytes; drop those that follow the complete response."""
+        was_complete = self.message_complete
+        try:
+            super().feed(data)
+        except HTTPParseError:
+            if not (self.final_code and (was_complete or self.message_complete)):
+                raise
+            self.headers_complete = self.message_complete = True
+            self._trailing_data_dropped = True
+
 
 @dataclass(slots=True)
 class HttpResponse:
@@ -117,6 +161,7 @@
         timeout_s: float = 30.0,
         concurrency: int = 64,
         step: str = "call upstream",
+        max_idle_s: float = MAX_IDLE_S,
     ) -> None:
         host, _, port = address.rpartition(":")
         self.address = address
@@ -124,6 +169,8 @@
         self.host = host
         self.port = int(port)
         self.timeout_s = timeout_s
+        self.max_idle_s = max_idle_s
+        self.rested_since: dict[int, float] = {}
         self.client = self.create_client(concurrency)
 
     def create_client(self, concurrency: int) -> HTTPClient:
@@ -140,10 +187,30 @@
         # connection breaks; -1 leaves the decision about retries to the caller.
         pool = client._connection_pool
         pool.size = -1
+        address = (self.host, self.port)
+        resolved = [
+            (socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP, "", address)
+        ]
+        setattr(pool, "_resolve", lambda: resolved)  # noqa: B010
         setattr(pool, "after_connect", set_no_delay)  # noqa: B010
-        setattr(pool, "_is_socket_alive", is_idle)  # noqa: B010
+        setattr(pool, "_is_socket_alive", self.is_fresh)  # noqa: B010
+        setattr(pool, "return_socket", self.returning(pool.return_socket))  # noqa: B010
         return client
 
+    def returning(self, return_socket: Callable[[Any], None]) -> Callable[[Any], None]:
+        """Return a function that notes the time at which a connection came back."""
+
+        def note(sock: Any) -> None:
+            self.rested_since[id(sock)] = time.monotonic()
+            return_socket(sock)
+
+        return note
+
+    def is_fresh(self, sock: Any) -> bool:
+        """Tell if a kept connection may be used for another request."""
+        since = self.rested_since.pop(id(sock), 0.0)
+        return time.monotonic() - since <= self.max_idle_s and is_idle(sock)
+
     def request(
         self,
         method: str,
@@ -159,8 +226,10 @@
         `fresh` opens a new connection: a reused one can break after the request
         was written without telling whether the server received it.
         """
+        sent_headers = dict(headers or {})
+        host = sent_headers.pop("Host", self.address)
         try:
-            data = encode_request(method, path, self.address, headers or {}, body)
+            data = encode_request(method, path, host, sent_headers, body)
         except ValueError as error:
             raise UpstreamError(
                 f"cannot be sent: {error}",
@@ -189,7 +258,7 @@
                 except BaseException:
                     pool.release_socket(sock)
                     raise
-                raw = HTTPSocketPoolResponse(
+                raw = SingleResponse(
                     sock, pool, block_size=READ_BLOCK_BYTES, method=method
                 )
         except (OSError, HTTPParseError) as error:
--- a/src/filbertyard/logs.py
+++ b/src/filbertyard/logs.py
@@ -4,7 +4,10 @@
 
 import json
 import logging
+import os
 import sys
+import time
+from collections import deque
 from typing import Any
 
 PLAIN_CHARACTERS = frozenset(
@@ -44,3 +47,70 @@
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel(level.upper())
+
+
+# Lines per second and in a burst; the lines beyond are counted and dropped.
+MAX_LINES_PER_S = 300.0
+MAX_BURST_LINES = 1200.0
+
+# Lines that wait for a slow reader of the standard output.
+MAX_WAITING_LINES = 4000
+
+
+class BoundedHandler(logging.Handler):
+    """Write lines to a descriptor without ever blocking, within a bound on volume."""
+
+    def __init__(self, descriptor: int) -> None:
+        super().__init__()
+        self.descriptor = descriptor
+        self.waiting: deque[bytes] = deque()
+        self.rest = b""
+        self.allowance = MAX_BURST_LINES
+        self.refilled_at = time.monotonic()
+        self.suppressed = 0
+        os.set_blocking(descriptor, False)
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write a line, or count it as suppressed."""
+        now = time.monotonic()
+        grown = self.allowance + (now - self.refilled_at) * MAX_LINES_PER_S
+        self.allowance = min(MAX_BURST_LINES, grown)
+        self.refilled_at = now
+        full = len(self.waiting) >= MAX_WAITING_LINES
+        if (self.allowance < 1.0 and record.levelno < logging.WARNING) or full:
+            self.suppressed += 1
+            return
+        self.allowance -= 1.0
+        text = self.format(record)
+        if self.suppressed:
+            text += f" suppressed={self.suppressed}"
+            self.suppressed = 0
+        self.waiting.append(text.encode(errors="replace") + b"\n")
+        self.write_out()
+
+    def write_out(self) -> None:
+        """Write as much as the reader takes now."""
+        while self.rest or self.waiting:
+            data = self.rest or self.waiting.popleft()
+            try:
+                sent = os.write(self.descriptor, data)
+            except BlockingIOError:
+                self.rest = data
+                return
+            except OSError:
+                # Without a reader there is nowhere to report the loss.
+                self.rest = b""
+                self.waiting.clear()
+                return
+            self.rest = data[sent:]
+
+
+def configure_stdout_logs(level: str, host: str) -> None:
+    """Send the logs of this process to standard output, bounded and non-blocking."""
+    handler = BoundedHandler(sys.stdout.fileno())
+    line = f"time=%(created).3f level=%(levelname)s host={host} %(message)s"
+    handler.setFormatter(logging.Formatter(line))
+    root = logging.getLogger()
+    root.handlers[:] = [handler]
+    root.setLevel(level.upper())
+    logging.raiseExceptions = False
--- a/src/filbertyard/metrics.py
+++ b/src/filbertyard/metrics.py
@@ -58,6 +58,8 @@
     "filbertyard_evictions_total": "Adapter evictions by outcome.",
     "filbertyard_ownership_changes_total": "Resources taken over or handed over.",
     "filbertyard_drains_total": "Upstreams and hosts that stopped taking work.",
+    "filbertyard_orders_total": "Orders to engines by kind and result.",
+    "filbertyard_reports_total": "Reports read from engines.",
     "filbertyard_rank_slot_seconds_total": "Batch slot time used by rank.",
 }
 
--- a/src/filbertyard/peers.py
+++ b/src/filbertyard/peers.py
@@ -45,6 +45,9 @@
 DONE = 3
 CANCEL = 4
 
+# Call id of messages that want no reply.
+NO_REPLY = 0
+
 HANDSHAKE_TIMEOUT_S = 2.0
 CONNECT_TIMEOUT_S = 1.0
 SEND_TIMEOUT_S = 5.0
@@ -368,9 +371,26 @@
                     connection.send(REPLY, call_id, problem)
                     continue
                 self.traffic.requests_received[type(body).__name__] += 1
+                if call_id == NO_REPLY:
+                    self.take(connection.host, body)
+                    continue
                 task = gevent.spawn(self.answer, connection, call_id, body)
                 connection.tasks[call_id] = task
 
+    def take(self, host: str, body: Message) -> None:
+        """Handle a message that wants no reply; its handler must not block."""
+        try:
+            self.run_handler(host, body)
+        except Exception as error:
+            log_event(
+                logger,
+                "peer_message_failed",
+                level=logging.ERROR,
+                peer=host,
+                request_type=type(body).__name__,
+                error=repr(error),
+            )
+
     def answer(self, connection: Connection, call_id: int, body: Message) -> None:
         """Run the handler of one request and send what it returns."""
         try:
@@ -556,6 +576,25 @@
             return Err(PeerError(reply.detail, step=step, peer=host, sent=False))
         return Ok(reply)
 
+    def tell(self, host: str, body: Message) -> Result[None, PeerError]:
+        """Send one message without waiting for its reply."""
+        step = type(body).__name__
+        try:
+            connection = self.connect(host)
+            self.traffic.requests_sent[step] += 1
+            connection.send(REQUEST, NO_REPLY, body)
+        except PeerError as error:
+            return Err(error)
+        except (FrameError, OSError) as error:
+            return Err(PeerError(str(error), step=step, peer=host, sent=True))
+        return Ok(None)
+
+    def drop(self, host: str) -> None:
+        """Close the stream to a host that no longer answers."""
+        connection = self.connections.pop(host, None)
+        if connection is not None:
+            connection.close()
+
     def stream(self, host: str, body: Message, timeout_s: float) -> Iterator[Message]:
         """Send one request and yield its replies; raise PeerError if they break off.
 
--- /dev/null
+++ b/src/filbertyard/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The Drakensig platform: its names, formats and calls, and nothing that decides."""
--- /dev/null
+++ b/src/filbertyard/platform/documents.py
@@ -0,0 +1,297 @@
+"""What the operator and the replicas write: configuration, entries, reports."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+from typing import Literal
+
+from pydantic import BaseModel
+from pydantic import ConfigDict
+from pydantic import Field
+from pydantic import ValidationError
+
+from ..exceptions import DocumentError
+from ..gateway.types import AdapterName
+from ..gateway.types import Configuration
+from ..gateway.types import EngineLimits
+from ..gateway.types import EngineReport
+from ..gateway.types import ModelLimits
+from ..gateway.types import Replica
+from ..gateway.types import RequestKind
+from ..gateway.types import RequestLimits
+from ..gateway.types import Route
+from ..gateway.types import Service
+from ..gateway.types import WeightedService
+from ..gateway.types import create_configuration
+from ..keyvalue import Item
+
+# Everything that the operator writes lies below this prefix.
+OPERATOR_PREFIX = "op/"
+CONFIGURATION_KEY = "op/config"
+VERSION_PREFIX = "op/version/"
+REPLICA_PREFIX = "servers/"
+
+KINDS: dict[str, RequestKind] = {
+    "idempotent": "idempotent",
+    "non_idempotent": "non_idempotent",
+    "streaming": "stream",
+}
+
+
+class Document(BaseModel):
+    """Base of the models: unknown fields are ignored."""
+
+    model_config = ConfigDict(extra="ignore")
+
+
+class BackendDocument(Document):
+    """One service of a split route."""
+
+    service: str
+    weight: float = Field(ge=0)
+
+
+class RouteDocument(Document):
+    """One route."""
+
+    name: str
+    host: str
+    prefix: str
+    kind: Literal["idempotent", "non_idempotent", "streaming"]
+    timeout_ms: float = Field(alias="timeoutMs", gt=0)
+    objective_ms: float = Field(default=1000.0, alias="targetLatencyMs")
+    priority: int = 5
+    service: str = ""
+    backends: list[BackendDocument] = []
+    # Replicas that one attempt of a client may run on, not sends.
+    max_attempts: int = Field(default=1, alias="maxAttempts")
+    resumable: bool = False
+
+    def decode(self) -> Route:
+        """Return the route in the product's terms."""
+        services = tuple(
+            WeightedService(backend.service, backend.weight)
+            for backend in self.backends
+            if backend.weight > 0
+        )
+        if not services:
+            services = (WeightedService(self.service, 1.0),)
+        return Route(
+            name=self.name,
+            host=self.host.lower(),
+            prefix=self.prefix,
+            kind=KINDS[self.kind],
+            timeout_s=self.timeout_ms / 1000,
+            objective_s=self.objective_ms / 1000,
+            rank=self.priority,
+            services=services,
+            max_replicas=self.max_attempts,
+            is_resumable=self.resumable,
+        )
+
+
+class ModelDocument(Document):
+    """Sizes of one base model."""
+
+    name: str
+    weights_mb: float = Field(default=0.0, alias="weightsMb")
+    load_s: float = Field(default=1.0, alias="loadS")
+    adapter_mb: float = Field(default=0.0, alias="adapterMb")
+
+
+class EngineDocument(Document):
+    """Sizes of one replica of a model engine."""
+
+    slots: int = Field(gt=0)
+    kv_tokens: int = Field(alias="kvCapacityTokens", gt=0)
+    adapter_slots: int = Field(default=0, alias="adapterSlots")
+    weights_mb: float = Field(default=0.0, alias="weightsMb")
+    models: list[ModelDocument] = []
+
+    def decode(self) -> EngineLimits:
+        """Return the limits in the product's terms."""
+        models = {
+            model.name: ModelLimits(model.weights_mb, model.load_s, model.adapter_mb)
+            for model in self.models
+        }
+        return EngineLimits(
+            self.slots, self.kv_tokens, self.adapter_slots, self.weights_mb, models
+        )
+
+
+class ServiceDocument(Document):
+    """One service."""
+
+    name: str
+    max_connections: int = Field(default=100, alias="maxConnections")
+    engine: EngineDocument | None = None
+
+
+class LimitsDocument(Document):
+    """What clients may send."""
+
+    head_bytes: int = Field(alias="maxHeaderBytes")
+    body_bytes: int = Field(alias="maxBodyBytes")
+    head_ms: float = Field(alias="headerTimeoutMs")
+    idle_ms: float = Field(alias="idleTimeoutMs")
+
+
+class ConfigurationDocument(Document):
+    """The newest configuration in full."""
+
+    version: int
+    routes: list[RouteDocument]
+    services: list[ServiceDocument]
+    limits: LimitsDocument | None = None
+
+
+class HeldModelDocument(Document):
+    """One base model that a replica holds."""
+
+    name: str
+    version: int = 1
+    # Names in the form NAME@VERSION.
+    adapters: list[str] = []
+
+
+class ReplicaDocument(Document):
+    """What a replica writes of itself; its id stands in the key only."""
+
+    service: str
+    address: str = Field(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")
+    zone: str = ""
+    slots: int = Field(default=1, gt=0)
+    state: Literal["ready", "draining"]
+    born: int = 0
+    models: list[HeldModelDocument] = []
+
+
+class ReportDocument(Document):
+    """The state of a model engine."""
+
+    sequence: int
+    busy: bool = False
+    models: list[HeldModelDocument] = []
+    # Adapters on their way from the store, as MODEL/NAME@VERSION.
+    pending: list[str] = []
+    born: int = 0
+    running: int = 0
+    queued: int = 0
+
+
+class VersionDocument(Document):
+    """A new version of an adapter."""
+
+    model: str
+    adapter: str
+    version: int
+
+
+def parse_json(data: bytes, what: str) -> Any:
+    """Parse JSON; raise DocumentError."""
+    try:
+        return json.loads(data)
+    except ValueError as error:
+        raise DocumentError(what, f"not JSON: {data[:40]!r}") from error
+
+
+def validate(model: type[Document], data: bytes, what: str) -> Any:
+    """Validate a document; raise DocumentError naming the field."""
+    try:
+        return model.model_validate(parse_json(data, what))
+    except ValidationError as error:
+        first = error.errors()[0]
+        field = ".".join(str(part) for part in first["loc"])
+        raise DocumentError(what, f"{field}: {first['msg']}") from error
+
+
+def split_version(text: str) -> tuple[str, int]:
+    """Split NAME@VERSION; a name without a version has version 1."""
+    name, _, version = text.partition("@")
+    return name, int(version) if version.isdigit() else 1
+
+
+def decode_held(
+    models: list[HeldModelDocument],
+) -> tuple[dict[str, int], dict[AdapterName, int]]:
+    """Return the versions of the models and adapters that a replica holds."""
+    adapters: dict[AdapterName, int] = {}
+    for model in models:
+        for text in model.adapters:
+            name, version = split_version(text)
+            adapters[AdapterName(model.name, name)] = version
+    return {model.name: model.version for model in models}, adapters
+
+
+def decode_configuration(item: Item) -> Configuration:
+    """Decode the configuration; raise DocumentError."""
+    document = validate(ConfigurationDocument, item.value, item.key)
+    limits = document.limits
+    services = {
+        service.name: Service(
+            service.name,
+            service.max_connections,
+            service.engine.decode() if service.engine is not None else None,
+        )
+        for service in document.services
+    }
+    return create_configuration(
+        document.version,
+        item.mod_revision,
+        tuple(route.decode() for route in document.routes),
+        services,
+        RequestLimits(
+            limits.head_bytes,
+            limits.body_bytes,
+            limits.head_ms / 1000,
+            limits.idle_ms / 1000,
+        )
+        if limits is not None
+        else None,
+    )
+
+
+def decode_replica(item: Item) -> Replica:
+    """Decode a replica's entry; raise DocumentError for what names none."""
+    document = validate(ReplicaDocument, item.value, item.key)
+    models, adapters = decode_held(document.models)
+    return Replica(
+        id=item.key.removeprefix(REPLICA_PREFIX),
+        service=document.service,
+        address=document.address,
+        zone=document.zone,
+        slots=document.slots,
+        is_leaving=document.state == "draining",
+        born_ms=document.born,
+        revision=item.mod_revision,
+        models=models,
+        adapters=adapters,
+    )
+
+
+def decode_release(item: Item) -> tuple[AdapterName, int]:
+    """Decode the announcement of an adapter's version; raise DocumentError."""
+    document = validate(VersionDocument, item.value, item.key)
+    return AdapterName(document.model, document.adapter), document.version
+
+
+def decode_report(data: bytes, replica: str) -> EngineReport:
+    """Decode an engine's report; raise DocumentError."""
+    document = validate(ReportDocument, data, f"report of {replica}")
+    models, adapters = decode_held(document.models)
+    pending: dict[AdapterName, int] = {}
+    for text in document.pending:
+        model, _, rest = text.partition("/")
+        name, version = split_version(rest)
+        pending[AdapterName(model, name)] = version
+    return EngineReport(
+        sequence=document.sequence,
+        is_busy=document.busy,
+        models=models,
+        adapters=adapters,
+        pending=pending,
+        born_ms=document.born,
+        running=document.running,
+        waiting=document.queued,
+    )
--- /dev/null
+++ b/src/filbertyard/platform/exchange.py
@@ -0,0 +1,280 @@
+"""Headers and calls between clients, this product and replicas."""
+
+from __future__ import annotations
+
+import json
+from http import HTTPStatus
+
+from ..exceptions import RequestError
+from ..gateway.types import AdapterName
+from ..gateway.types import Configuration
+from ..gateway.types import EngineReport
+from ..gateway.types import GatewayRequest
+from ..gateway.types import Replica
+from ..gateway.wire import AnswerHead
+from ..gateway.wire import HttpMessage
+from ..gateway.wire import Layout
+from ..gateway.wire import Order
+from ..gateway.wire import OrderResult
+from ..keyvalue import Item
+from . import documents
+
+REQUEST_ID = "Request-Id"
+DEADLINE = "Deadline-Ms"
+SIGNATURE = "Response-Signature"
+TARGET = "Target-Instance"
+MODEL = "Model"
+# Prompt tokens and the largest number of output tokens, not what was used.
+TOKENS = "Token-Usage"
+LENGTH_HINT = "Length-Hint"
+PRIORITY = "Request-Priority"
+EXPECTED_VERSION = "Expected-Version"
+LAST_EVENT = "Last-Event-Id"
+NOT_RUN = "Not-Executed"
+LOAD = "Server-Load"
+
+# Used where a client names no deadline.
+DEFAULT_DEADLINE_MS = 30_000
+
+# The largest value of the priority header; 0 is most urgent.
+LEAST_URGENT = 9
+
+# Headers that concern one connection only (RFC 9110, 7.6.1) or are computed anew.
+CONNECTION_HEADERS = frozenset(
+    (
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "expect",
+        "content-length",
+    )
+)
+
+# Headers that only the system may set on a request to a replica.
+SYSTEM_HEADERS = frozenset(
+    (
+        "target-instance",
+        "request-priority",
+        "expected-version",
+        "hold",
+        "pin-ms",
+        "kv-backup",
+        "kv-from",
+        "kv-fetch",
+        "deadline-ms",
+        "last-event-id",
+    )
+)
+
+ORDER_RESULTS: dict[int, OrderResult] = {
+    200: "held",
+    202: "accepted",
+    400: "refused",
+    409: "busy",
+    412: "stale",
+    421: "refused",
+}
+
+
+class PlatformWire:
+    """The messages of the Drakensig platform."""
+
+    layout = Layout(
+        operator_prefix=documents.OPERATOR_PREFIX,
+        configuration_key=documents.CONFIGURATION_KEY,
+        version_prefix=documents.VERSION_PREFIX,
+        replica_prefix=documents.REPLICA_PREFIX,
+    )
+
+    def read_request(
+        self,
+        method: str,
+        target: str,
+        headers: list[tuple[str, str]],
+        body: bytes,
+        arrived: float,
+    ) -> GatewayRequest:
+        """Decode a client's request; raise RequestError."""
+        fields = {name.lower(): value for name, value in headers}
+        dropped = CONNECTION_HEADERS | SYSTEM_HEADERS | listed(fields.get("connection"))
+        prompt, output = read_tokens(fields.get(TOKENS.lower(), ""))
+        hint = read_number(LENGTH_HINT, fields.get(LENGTH_HINT.lower(), ""), output)
+        left_ms = read_number(
+            DEADLINE, fields.get(DEADLINE.lower(), ""), DEFAULT_DEADLINE_MS
+        )
+        return GatewayRequest(
+            id=fields.get(REQUEST_ID.lower(), ""),
+            host=fields.get("host", "").lower().partition(":")[0],
+            method=method,
+            target=target,
+            headers=[
+                (name, value) for name, value in headers if name.lower() not in dropped
+            ],
+            body=body,
+            arrived=arrived,
+            deadline=arrived + left_ms / 1000,
+            adapter=read_adapter(fields.get(MODEL.lower(), "")),
+            prompt_tokens=prompt,
+            output_tokens=min(output, hint) if hint else output,
+            resume_after=fields.get(LAST_EVENT.lower(), ""),
+        )
+
+    def request_headers(
+        self,
+        request: GatewayRequest,
+        replica: str,
+        left_s: float,
+        rank: int,
+        version: int,
+        resume_after: str,
+    ) -> dict[str, str]:
+        """Return the headers for a replica; `version` 0 leaves the choice to it."""
+        headers = dict(request.headers)
+        headers[DEADLINE] = str(max(1, int(left_s * 1000)))
+        headers[TARGET] = replica
+        if request.adapter is not None:
+            headers[PRIORITY] = str(min(max(rank, 0), LEAST_URGENT))
+        if version:
+            headers[EXPECTED_VERSION] = str(version)
+        if resume_after:
+            headers[LAST_EVENT] = resume_after
+        return headers
+
+    def read_head(self, status: int, headers: list[tuple[str, str]]) -> AnswerHead:
+        """Decode the head of a replica's answer."""
+        fields = {name.lower(): value for name, value in headers}
+        running, waiting = read_load(fields.get(LOAD.lower(), ""))
+        is_absent = status == HTTPStatus.MISDIRECTED_REQUEST
+        return AnswerHead(
+            status=status,
+            request_id=fields.get(REQUEST_ID.lower(), ""),
+            is_signed=SIGNATURE.lower() in fields,
+            is_not_run=is_absent or NOT_RUN.lower() in fields,
+            is_absent=is_absent,
+            running=running,
+            waiting=waiting,
+        )
+
+    def response_headers(self, headers: list[tuple[str, str]]) -> list[tuple[str, str]]:
+        """Return the headers of a replica's answer that go on to the client."""
+        fields = {name.lower(): value for name, value in headers}
+        dropped = CONNECTION_HEADERS | listed(fields.get("connection"))
+        return [(name, value) for name, value in headers if name.lower() not in dropped]
+
+    def refusal(
+        self, status: int, request_id: str, detail: str, retry_after_s: float
+    ) -> tuple[list[tuple[str, str]], bytes]:
+        """Return headers and body of an answer of this product's own."""
+        body = json.dumps({"error": detail}).encode()
+        headers = [("Content-Type", "application/json")]
+        if request_id:
+            headers.append((REQUEST_ID, request_id))
+        if retry_after_s > 0:
+            headers.append(("Retry-After", f"{retry_after_s:.2f}"))
+        return headers, body
+
+    def addresses(self, addresses: list[str], ttl_s: float) -> bytes:
+        """Return the body that tells clients where to connect."""
+        return json.dumps({"addresses": addresses, "ttlS": ttl_s}).encode()
+
+    def is_address_query(self, path: str) -> bool:
+        """Tell if a path asks where to connect."""
+        return path == "/api/resolve"
+
+    def is_readiness_query(self, path: str) -> bool:
+        """Tell if a path asks whether this host is ready."""
+        return path == "/api/ready"
+
+    def order(self, order: Order, replica: str) -> HttpMessage:
+        """Return the call that gives an order."""
+        value: dict[str, str | int] = {
+            "operation": order.kind,
+            "model": order.model,
+            # The sequence that the replica must have reached, not the new one.
+            "expected": order.sequence,
+            "holder": order.owner,
+            "fence": order.fence,
+        }
+        if order.adapter:
+            value["adapter"] = order.adapter
+        if order.version:
+            value["version"] = order.version
+        headers = {"Content-Type": "application/json", TARGET: replica}
+        return HttpMessage("POST", "/api/order", headers, json.dumps(value).encode())
+
+    def order_result(self, status: int) -> OrderResult | None:
+        """Return what a replica answered to an order, None if unknown."""
+        return ORDER_RESULTS.get(status)
+
+    def report(self, replica: str) -> HttpMessage:
+        """Return the call that reads an engine's report."""
+        return HttpMessage("GET", "/api/report", {TARGET: replica})
+
+    def read_report(self, body: bytes, replica: str) -> EngineReport:
+        """Decode an engine's report; raise DocumentError."""
+        return documents.decode_report(body, replica)
+
+    def read_configuration(self, item: Item) -> Configuration:
+        """Decode the operator's configuration; raise DocumentError."""
+        return documents.decode_configuration(item)
+
+    def read_replica(self, item: Item) -> Replica:
+        """Decode a replica's entry; raise DocumentError."""
+        return documents.decode_replica(item)
+
+    def read_release(self, item: Item) -> tuple[AdapterName, int]:
+        """Decode the announcement of an adapter's version; raise DocumentError."""
+        return documents.decode_release(item)
+
+
+def listed(connection: str | None) -> frozenset[str]:
+    """Return the header names that a Connection header lists."""
+    names = (connection or "").split(",")
+    return frozenset(name.strip().lower() for name in names if name.strip())
+
+
+def read_number(name: str, text: str, default: int) -> int:
+    """Return a whole number of a header; raise RequestError."""
+    if not text:
+        return default
+    try:
+        return max(0, int(float(text)))
+    except (ValueError, OverflowError) as error:
+        raise RequestError(name, repr(text[:40]), "a whole number") from error
+
+
+def read_tokens(text: str) -> tuple[int, int]:
+    """Return prompt tokens and the largest number of output tokens."""
+    if not text:
+        return 0, 0
+    prompt, _, output = text.partition(",")
+    return read_number(TOKENS, prompt, 0), read_number(TOKENS, output, 0)
+
+
+def read_adapter(text: str) -> AdapterName | None:
+    """Return the model and adapter of a request, None if it names none."""
+    if not text:
+        return None
+    model, _, adapter = text.partition("/")
+    return AdapterName(model, adapter)
+
+
+def read_load(text: str) -> tuple[int, int]:
+    """Return running and waiting requests of a replica, -1 running if not told."""
+    parts = text.split(",")
+    try:
+        return int(parts[0]), int(parts[1])
+    except (ValueError, IndexError):
+        # Not every service tells its load; the header is optional.
+        return -1, 0
+
+
+def create_platform_wire() -> PlatformWire:
+    """Return the translator of the platform's messages."""
+    return PlatformWire()
--- /dev/null
+++ b/src/filbertyard/programs/gateway.py
@@ -0,0 +1,74 @@
+"""Run one gateway host on the platform."""
+
+import os
+
+# Addresses are numeric: resolving them needs no thread.
+os.environ.setdefault("GEVENT_RESOLVER", "block")
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import signal
+import sys
+from pathlib import Path
+
+import defopt
+import gevent
+from gevent.event import Event
+
+from ..exceptions import SettingsError
+from ..gateway.host import create_gateway_host
+from ..logs import configure_stdout_logs
+from ..platform import store as _store  # noqa: F401
+from ..platform.exchange import create_platform_wire
+from ..platform.settings import DEFAULT_SETTINGS_PATH
+from ..platform.settings import SETTINGS_VARIABLE
+from ..platform.settings import load_node_file
+
+EXIT_SETTINGS = 2
+
+PEER_KEY_VARIABLE = "FILBERTYARD_PEER_KEY"
+
+DEFAULT_METRICS_PORT = 9464
+
+
+def gateway(
+    *, metrics_port: int = DEFAULT_METRICS_PORT, log_level: str = "info"
+) -> int:
+    """Run one gateway host until SIGTERM or SIGINT, then leave the fleet gracefully.
+
+    The settings file of the platform is named by FILBERTYARD_NODE_FILE; hosts of one
+    fleet share FILBERTYARD_PEER_KEY. Exit status 0 after a graceful shutdown, 2 for a
+    settings file that cannot be used.
+
+    :param metrics_port: port of the metrics on the host's address, 0 for none
+    :param log_level: debug, info, warning or error
+    """
+    path = Path(os.environ.get(SETTINGS_VARIABLE, DEFAULT_SETTINGS_PATH))
+    try:
+        settings = load_node_file(
+            path, metrics_port, os.environ.get(PEER_KEY_VARIABLE, "")
+        )
+    except SettingsError as error:
+        print(f"filbertyard-gateway: {error.message}", file=sys.stderr)
+        return EXIT_SETTINGS
+    configure_stdout_logs(log_level, settings.name)
+    host = create_gateway_host(settings, create_platform_wire())
+    host.start()
+    stopping = Event()
+    gevent.signal_handler(signal.SIGTERM, stopping.set)
+    gevent.signal_handler(signal.SIGINT, stopping.set)
+    gevent.signal_handler(signal.SIGHUP, host.reload)
+    stopping.wait()
+    host.shutdown()
+    return 0
+
+
+def main() -> None:
+    """Run the command line."""
+    sys.exit(defopt.run(gateway))
+
+
+if __name__ == "__main__":
+    main()
