Cancel a waiting request when its caller leaves; repeat lost orders at once

An unanswered order held the queue of its replica for 0.5 s. Ruled out: overloaded processes (0.06 of a core) and full engines. Change: the exception passes through; unanswered orders are repeated after 0.12 s under the same sequence; hosts that lost a replica no longer count as a refusal.

--- a/src/filbertyard/gateway/adapterplan.py
+++ b/src/filbertyard/gateway/adapterplan.py
@@ -30,7 +30,11 @@
 REPORT_LAG_S = 0.1
 
 # Until a run ends that frees a place, when all places are in use.
-PLACE_WAIT_S = 0.6
+PLACE_WAIT_S = 0.3
+
+# Time between two loads of a queue before anything was observed.
+FIRST_PACE_S = 0.1
+LONGEST_PACE_S = 2.0
 
 # Frequencies kept for each place for adapters.
 TRACKED_PER_SLOT = 20
@@ -74,6 +78,8 @@
         self.in_use: Counter[AdapterName] = Counter()
         self.frequencies: dict[AdapterName, Frequency] = {}
         self.load_s = FIRST_LOAD_S
+        self.pace_s = FIRST_PACE_S
+        self.paced_at = float("-inf")
 
     def touch(self, name: AdapterName, now: float) -> None:
         """Count a request for an adapter."""
@@ -156,13 +162,20 @@
 
     def load_wait_s(self, queued: int, now: float) -> float:
         """Estimate the time until another adapter is there, behind `queued` others."""
-        rounds = (len(self.loading) + queued) // MAX_IN_TRANSIT
-        wait_s = REPORT_LAG_S + self.load_s * (1 + rounds)
+        wait_s = REPORT_LAG_S + self.load_s + queued * self.pace_s
         return wait_s if self.can_load(now) else wait_s + PLACE_WAIT_S
 
     def begin_load(self, name: AdapterName, now: float) -> None:
         """Reserve a place for an adapter on its way."""
         self.loading[name] = now
+        pace_s = min(LONGEST_PACE_S, now - self.paced_at)
+        self.paced_at = now
+        self.pace_s += LOAD_GAIN * (pace_s - self.pace_s)
+
+    def note_idle(self, now: float) -> None:
+        """Note that no adapter waits to be loaded: the pause tells no pace."""
+        self.paced_at = now
+        self.pace_s += LOAD_GAIN * (min(self.pace_s, FIRST_PACE_S) - self.pace_s)
 
     def drop(self, name: AdapterName) -> None:
         """Free the place of an adapter that the engine gave up."""
--- a/src/filbertyard/gateway/claims.py
+++ b/src/filbertyard/gateway/claims.py
@@ -153,7 +153,6 @@
 
     def run_claims(self) -> None:
         """Claim replicas without an owner, for ever."""
-        gevent.sleep(SETTLE_S)
         while True:
             gevent.sleep(CLAIM_PAUSE_S)
             record = self.record()
@@ -206,8 +205,10 @@
             is_owned = record is not None and record.host in self.state.hosts
             if is_owned and record is not None and not record.is_released:
                 del self.unowned_since[replica]
+        is_settled = boot_clock() - self.started_at >= SETTLE_S
         for decision in decisions:
-            self.claim_one(decision)
+            if is_settled or decision.cause == "restarted":
+                self.claim_one(decision)
 
     def claim_one(self, decision: ClaimDecision) -> None:
         """Write one owner record; raise KeyValueError."""
--- a/src/filbertyard/gateway/entry.py
+++ b/src/filbertyard/gateway/entry.py
@@ -54,6 +54,9 @@
 # Owners asked for one request before it is turned away.
 MAX_ASKS = 3
 
+# Causes that tell that a host does not own the replica it was asked about.
+NO_OWNER = ("not_owner", "owner_changed")
+
 # A silent replica is given up for another after this many objectives, where the
 # request may be repeated.
 SILENCE_OBJECTIVES = 1.0
@@ -273,6 +276,9 @@
                 excluded[candidate.replica] += 1
                 continue
             granted = self.ask(delivery, candidate, name, is_missing)
+            if isinstance(granted, RequestTurnedAway) and granted.cause in NO_OWNER:
+                delivery.causes.append(granted.cause)
+                granted = None
             if isinstance(granted, RequestTurnedAway):
                 delivery.causes.append(granted.cause)
                 retry_after_s = max(retry_after_s, granted.retry_after_s)
@@ -282,8 +288,9 @@
                 delivery.causes.append("owner_silent")
                 excluded[candidate.replica] += 1
                 continue
-            version = granted.version if granted is not None else 0
+            version = self.state.releases.get(name, 0)
             if granted is not None:
+                version = max(version, granted.version)
                 delivery.waited_s += granted.waited_s
             if delivery.sends and not self.may_repeat(delivery, service):
                 self.owners.finished(replica.id, request.id, "not_run")
--- a/src/filbertyard/gateway/host.py
+++ b/src/filbertyard/gateway/host.py
@@ -21,6 +21,7 @@
 from ..keyvalue import create_key_value
 from ..logs import log_event
 from ..metrics import Metrics
+from ..peers import STREAM_BROKE
 from ..peers import PeerNetwork
 from .claims import Registrar
 from .claims import boot_clock
@@ -381,6 +382,9 @@
         if record.host not in self.reachable():
             return None
         answer = self.peers.call(record.host, ask, left_s + ASK_TIMEOUT_S)
+        if isinstance(answer, Err) and answer.err_value.message == STREAM_BROKE:
+            # Asked again on a new stream, the owner forgets the first question.
+            answer = self.peers.call(record.host, ask, left_s + ASK_TIMEOUT_S)
         if isinstance(answer, Err):
             log_event(
                 logger,
--- a/src/filbertyard/gateway/owner.py
+++ b/src/filbertyard/gateway/owner.py
@@ -23,6 +23,7 @@
 from .adapterplan import LoadStep
 from .adapterplan import Step
 from .adapterplan import UnloadStep
+from .admission import LEAST_RUN_S
 from .admission import EngineQueue
 from .admission import Waiting
 from .health import HealthTable
@@ -40,8 +41,13 @@
 
 logger = logging.getLogger(__name__)
 
-# An order or a report without an answer for this long counts as lost.
-ORDER_TIMEOUT_S = 0.4
+# An order without an answer for this long counts as lost: engines answer in a few
+# milliseconds, and an order may be repeated because it carries the sequence.
+ORDER_TIMEOUT_S = 0.12
+REPORT_TIMEOUT_S = 0.3
+
+# How often an unanswered order is sent before the engine is asked what it holds.
+ORDER_SENDS = 3
 
 # Pause between reports while loads are under way, and after a failed one.
 REPORT_PAUSE_S = 0.08
@@ -50,9 +56,12 @@
 # The engine's report is read at least this often while requests wait.
 REPORT_AGE_S = 2.0
 
-# Pause before an order is given again after the engine was busy with another.
+# Pause before the engine is asked about a place that is not free yet.
 BUSY_PAUSE_S = 0.1
 
+# A report is taken to show all that happened this long before it.
+REPORT_LAG_S = 0.25
+
 # Load of the replica is published at most and at least this often.
 PUBLISH_PAUSE_S = 0.1
 PUBLISH_AGE_S = 1.0
@@ -102,7 +111,7 @@
         self.queue = EngineQueue(limits.slots, limits.kv_tokens)
         self.plan = AdapterPlan(limits.adapter_slots, releases)
         self.health = HealthTable()
-        self.http = HttpPeer(replica.address, timeout_s=ORDER_TIMEOUT_S, step="order")
+        self.http = HttpPeer(replica.address, timeout_s=REPORT_TIMEOUT_S, step="order")
         self.pending: dict[str, Pending] = {}
         self.hosts: dict[str, str] = {}
         self.sequence = -1
@@ -171,8 +180,15 @@
             output_tokens=ask.output_tokens,
         )
         self.plan.touch(name, now)
-        if not self.plan.is_ready(name) and not self.is_loadable(name):
-            return self.turn_away(waiting, host, "adapter_not_loadable", 0.3)
+        if ask.request_id in self.queue.started:
+            # The answer to the first question was lost with its stream.
+            self.finish(ask.request_id, "withdrawn")
+        if not self.plan.is_ready(name):
+            if not self.is_loadable(name):
+                return self.turn_away(waiting, host, "adapter_not_loadable", 0.3)
+            load_s = 0.0 if name in self.plan.loading else self.load_wait_s(now)
+            if now + load_s + LEAST_RUN_S > waiting.deadline:
+                return self.turn_away(waiting, host, "no_place_in_time", load_s / 2)
         refused = self.queue.offer(waiting, now)
         if refused is not None:
             return self.turn_away(waiting, host, refused.cause, refused.retry_after_s)
@@ -380,6 +396,8 @@
             return self.load_model(now)
         names = [item.adapter for item in self.queue.order(now)]
         step = self.plan.next_step(names, now)
+        if all(self.plan.is_ready(name) for name in names):
+            self.plan.note_idle(now)
         if step is None:
             due = [
                 began + self.plan.load_s - now for began in self.plan.loading.values()
@@ -404,23 +422,25 @@
 
     def carry_out(self, step: Step) -> None:
         """Give an order until its outcome is known; raise UpstreamError."""
-        now = time.monotonic()
-        if isinstance(step, UnloadStep) and self.plan.in_use[step.name]:
-            return
-        result = self.order(step)
+        result = None
+        for _ in range(ORDER_SENDS):
+            if isinstance(step, UnloadStep) and self.plan.in_use[step.name]:
+                return
+            # At most one of the sends takes effect: each moves the sequence on.
+            result = self.order(step)
+            if result is not None or not self.may_order():
+                break
         if result in ("busy", "refused", "stale", None):
-            # The sequence tells which order came first; only a report knows it now.
-            gevent.sleep(BUSY_PAUSE_S)
-            self.read_report()
+            self.resynchronize()
             return
         self.dirty = True
         if isinstance(step, LoadStep):
             if result == "held":
                 self.plan.resident[step.name] = max(1, step.version)
-                self.grant(now)
+                self.grant(time.monotonic())
                 return
             self.sequence += 1
-            self.plan.begin_load(step.name, now)
+            self.plan.begin_load(step.name, time.monotonic())
             return
         self.sequence += 1
         if result == "held":
@@ -430,6 +450,13 @@
             gevent.sleep(BUSY_PAUSE_S)
             self.read_report()
 
+    def resynchronize(self) -> None:
+        """Take over the engine's sequence after an order of unknown effect."""
+        # A report shows an order that took effect only after its lag.
+        gevent.sleep(REPORT_LAG_S)
+        self.sequence = -1
+        self.read_report()
+
     def order(self, step: Step) -> OrderResult | None:
         """Send one order; return None if its outcome is unknown."""
         kind = "load" if isinstance(step, LoadStep) else "unload"
@@ -489,7 +516,7 @@
             message.path,
             b"",
             message.headers,
-            timeout_s=ORDER_TIMEOUT_S,
+            timeout_s=REPORT_TIMEOUT_S,
         )
         self.metrics.add("filbertyard_reports_total")
         if response.status != 200:
--- a/src/filbertyard/httpcalls.py
+++ b/src/filbertyard/httpcalls.py
@@ -18,6 +18,7 @@
 from geventhttpclient.response import HTTPParseError
 from geventhttpclient.response import HTTPSocketPoolResponse
 
+from .exceptions import CallerGoneError
 from .exceptions import UpstreamError
 
 CONNECT_TIMEOUT_S = 1.0
@@ -128,6 +129,10 @@
                         peer=self.peer,
                         sent=True,
                     )
+            except CallerGoneError:
+                # Raised in this greenlet by the watch on the caller.
+                self.close()
+                raise
             except (OSError, HTTPParseError) as error:
                 self.close()
                 raise UpstreamError(
@@ -241,6 +246,8 @@
         pool = client._connection_pool
         try:
             sock = pool.get_socket()
+        except CallerGoneError:
+            raise
         except (OSError, RuntimeError) as error:
             raise UpstreamError(
                 f"cannot connect: {error}",
@@ -261,6 +268,8 @@
                 raw = SingleResponse(
                     sock, pool, block_size=READ_BLOCK_BYTES, method=method
                 )
+        except CallerGoneError:
+            raise
         except (OSError, HTTPParseError) as error:
             raise UpstreamError(
                 f"request failed: {type(error).__name__}: {error}",
--- a/src/filbertyard/peers.py
+++ b/src/filbertyard/peers.py
@@ -26,6 +26,7 @@
 from result import Ok
 from result import Result
 
+from .exceptions import CallerGoneError
 from .exceptions import FrameError
 from .exceptions import PeerError
 from .logs import log_event
@@ -64,6 +65,8 @@
 # Each host opens one stream; the rest allows for reconnects in a fleet of 410 nodes.
 MAX_STREAMS = 1024
 
+STREAM_BROKE = "stream broke"
+
 MAX_HANDSHAKES = 64
 
 # Requests that one peer may have in progress here.
@@ -459,6 +462,8 @@
                 )
             try:
                 connection = self.dial(host, address)
+            except CallerGoneError:
+                raise
             except (OSError, FrameError) as error:
                 raise PeerError(
                     f"cannot connect to {address}: {error}",
@@ -563,6 +568,9 @@
         try:
             connection.send(REQUEST, call_id, body)
             kind, reply = queue.get(timeout=timeout_s)
+        except CallerGoneError:
+            # Raised in this greenlet by the watch on the caller, not by the stream.
+            raise
         except Empty:
             detail = f"no reply within {timeout_s:g} s"
             return Err(PeerError(detail, step=step, peer=host, sent=True))
@@ -571,7 +579,7 @@
         finally:
             connection.pending.pop(call_id, None)
         if kind == DONE:
-            return Err(PeerError("stream broke", step=step, peer=host, sent=True))
+            return Err(PeerError(STREAM_BROKE, step=step, peer=host, sent=True))
         if isinstance(reply, Problem):
             return Err(PeerError(reply.detail, step=step, peer=host, sent=False))
         return Ok(reply)
@@ -615,7 +623,7 @@
                 if kind == DONE:
                     finished = True
                     if connection.closed:
-                        raise PeerError("stream broke", step=step, peer=host, sent=True)
+                        raise PeerError(STREAM_BROKE, step=step, peer=host, sent=True)
                     return
                 if isinstance(item, Problem):
                     finished = True
