Pace the reading of prompts by the pauses of streams; grant at the expected end of loads

Cause: the cost of a token was learned from the whole time to the first event, so the queue in front of an engine held requests back for 0.1 to 0.3 s although it read nothing; loads counted as finished only in a report, and their expected time grew with its lag (median wait of absent adapters 0.67 s).

--- a/src/filbertyard/gateway/adapterplan.py
+++ b/src/filbertyard/gateway/adapterplan.py
@@ -22,12 +22,23 @@
 # A load that the engine's report does not show after this time has failed.
 LOAD_LOST_S = 5.0
 
-# A fetch takes about this long before anything was observed.
-FIRST_LOAD_S = 0.25
-LOAD_GAIN = 0.2
+# A load takes about this long before anything was observed: from the store, and of an
+# adapter that the engine held a short time ago.
+FIRST_FETCH_S = 0.26
+FIRST_RELOAD_S = 0.04
+LEAST_LOAD_S = 0.01
+
+# Requests are sent when their load should have ended; its report comes later. An
+# engine that refuses one had not finished: the expected time grows by the first
+# figure, and shrinks by the second with each request that ran.
+LATE_STEP_S = 0.02
+EARLY_STEP_S = 0.002
+
+# Adapters that an engine held and gave up, which it still finds near at hand.
+KEPT_NEAR = 100
 
 # The report shows a load this much later.
-REPORT_LAG_S = 0.1
+REPORT_LAG_S = 0.12
 
 # Until a run ends that frees a place, when all places are in use.
 PLACE_WAIT_S = 0.3
@@ -35,6 +46,7 @@
 # Time between two loads of a queue before anything was observed.
 FIRST_PACE_S = 0.1
 LONGEST_PACE_S = 2.0
+PACE_GAIN = 0.2
 
 # Frequencies kept for each place for adapters.
 TRACKED_PER_SLOT = 20
@@ -48,6 +60,20 @@
     at: float
 
 
+@dataclass(slots=True)
+class Loading:
+    """A load under way; times are in seconds.
+
+    `is_confirming` tells that a request came too early: only a report ends the load.
+    """
+
+    began: float
+    version: int
+    expected_s: float
+    is_reload: bool
+    is_confirming: bool = False
+
+
 @dataclass(frozen=True, slots=True)
 class LoadStep:
     """Load an adapter, or a base model where the adapter's name is empty."""
@@ -74,10 +100,12 @@
         self.releases = releases
         self.models: set[str] = set()
         self.resident: dict[AdapterName, int] = {}
-        self.loading: dict[AdapterName, float] = {}
+        self.loading: dict[AdapterName, Loading] = {}
+        self.near: dict[AdapterName, None] = {}
         self.in_use: Counter[AdapterName] = Counter()
         self.frequencies: dict[AdapterName, Frequency] = {}
-        self.load_s = FIRST_LOAD_S
+        self.fetch_s = FIRST_FETCH_S
+        self.reload_s = FIRST_RELOAD_S
         self.pace_s = FIRST_PACE_S
         self.paced_at = float("-inf")
 
@@ -100,12 +128,47 @@
         """Return the newest announced version of an adapter."""
         return self.releases.get(name, 1)
 
-    def is_ready(self, name: AdapterName) -> bool:
-        """Tell if requests for an adapter may start."""
+    def is_held(self, name: AdapterName) -> bool:
+        """Tell if the engine is known to hold the newest version of an adapter."""
         if not name.adapter:
             return name.model in self.models
         return self.resident.get(name, 0) >= self.newest(name)
 
+    def is_ready(self, name: AdapterName, now: float) -> bool:
+        """Tell if requests for an adapter may start: held, or its load is over."""
+        if self.is_held(name):
+            return True
+        load = self.loading.get(name)
+        return (
+            load is not None
+            and not load.is_confirming
+            and load.version >= self.newest(name)
+            and now >= load.began + load.expected_s
+        )
+
+    def note_started(self, name: AdapterName) -> None:
+        """Learn from a request that ran on an adapter whose load was not reported."""
+        load = self.loading.get(name)
+        if load is not None:
+            self.adjust(load, -EARLY_STEP_S)
+
+    def note_too_early(self, name: AdapterName) -> bool:
+        """Learn from a request that came before the end of a load; tell if it did."""
+        load = self.loading.get(name)
+        if load is None:
+            return False
+        if not load.is_confirming:
+            load.is_confirming = True
+            self.adjust(load, LATE_STEP_S)
+        return True
+
+    def adjust(self, load: Loading, change_s: float) -> None:
+        """Change the expected time of loads of one kind."""
+        if load.is_reload:
+            self.reload_s = max(LEAST_LOAD_S, self.reload_s + change_s)
+        else:
+            self.fetch_s = max(LEAST_LOAD_S, self.fetch_s + change_s)
+
     def acquire(self, name: AdapterName) -> None:
         """Count a use; an adapter in use is never given up."""
         self.in_use[name] += 1
@@ -120,7 +183,7 @@
         """Return the next order for the waiting requests, the most pressing first."""
         wanted = list(dict.fromkeys(waiting))
         for name in wanted:
-            if self.is_ready(name) or name in self.loading:
+            if self.is_held(name) or name in self.loading:
                 continue
             if name.model not in self.models or not name.adapter:
                 continue
@@ -146,12 +209,12 @@
         idle = [
             name
             for name in self.resident
-            if not self.in_use[name] and not (name in kept and self.is_ready(name))
+            if not self.in_use[name] and not (name in kept and self.is_held(name))
         ]
         if not idle:
             return None
         return min(
-            idle, key=lambda name: (self.is_ready(name), self.frequency(name, now))
+            idle, key=lambda name: (self.is_held(name), self.frequency(name, now))
         )
 
     def can_load(self, now: float) -> bool:
@@ -162,54 +225,75 @@
 
     def load_wait_s(self, queued: int, now: float) -> float:
         """Estimate the time until another adapter is there, behind `queued` others."""
-        wait_s = REPORT_LAG_S + self.load_s + queued * self.pace_s
+        wait_s = self.fetch_s + queued * self.pace_s
         return wait_s if self.can_load(now) else wait_s + PLACE_WAIT_S
 
-    def begin_load(self, name: AdapterName, now: float) -> None:
-        """Reserve a place for an adapter on its way."""
-        self.loading[name] = now
+    def begin_load(self, name: AdapterName, now: float) -> float:
+        """Reserve a place for an adapter; return the time that its load should take."""
+        is_reload = name in self.near
+        expected_s = self.reload_s if is_reload else self.fetch_s
+        version = self.newest(name)
+        self.loading[name] = Loading(now, version, expected_s, is_reload)
         pace_s = min(LONGEST_PACE_S, now - self.paced_at)
         self.paced_at = now
-        self.pace_s += LOAD_GAIN * (pace_s - self.pace_s)
+        self.pace_s += PACE_GAIN * (pace_s - self.pace_s)
+        return expected_s
 
     def note_idle(self, now: float) -> None:
         """Note that no adapter waits to be loaded: the pause tells no pace."""
         self.paced_at = now
-        self.pace_s += LOAD_GAIN * (min(self.pace_s, FIRST_PACE_S) - self.pace_s)
+        self.pace_s += PACE_GAIN * (min(self.pace_s, FIRST_PACE_S) - self.pace_s)
 
     def drop(self, name: AdapterName) -> None:
         """Free the place of an adapter that the engine gave up."""
-        self.resident.pop(name, None)
+        if self.resident.pop(name, None) is not None:
+            self.near.pop(name, None)
+            self.near[name] = None
+            if len(self.near) > KEPT_NEAR:
+                del self.near[next(iter(self.near))]
         self.loading.pop(name, None)
 
     def load_left_s(self, name: AdapterName, now: float) -> float:
         """Return the rest of a load, negative if there is none."""
-        began = self.loading.get(name)
-        return -1.0 if began is None else max(0.0, began + self.load_s - now)
+        load = self.loading.get(name)
+        if load is None:
+            return -1.0
+        return max(0.0, load.began + load.expected_s - now)
 
     def is_report_due(self, now: float) -> bool:
         """Tell if a load should have ended by now."""
-        return any(now >= began + self.load_s for began in self.loading.values())
+        return any(now >= self.report_due(load) for load in self.loading.values())
+
+    def report_due(self, load: Loading) -> float:
+        """Return when a report should show the end of a load."""
+        return load.began + load.expected_s + REPORT_LAG_S
 
     def reconcile(self, report: EngineReport, now: float) -> None:
         """Take over what the engine reports; loads that it does not know are lost."""
         self.models = set(report.models)
-        for name, began in list(self.loading.items()):
-            if name in report.adapters and name not in self.resident:
-                self.load_s += LOAD_GAIN * (now - began - self.load_s)
-                del self.loading[name]
-            elif name not in report.pending and now - began > LOAD_LOST_S:
+        for name, load in list(self.loading.items()):
+            held = report.adapters.get(name, 0)
+            if (
+                held >= load.version
+                and name not in report.pending
+                or name not in report.pending
+                and now - load.began > LOAD_LOST_S
+            ):
                 del self.loading[name]
         self.resident = {
             name: version
             for name, version in report.adapters.items()
             if name not in self.loading
         }
-        for name in report.pending:
-            self.loading.setdefault(name, now)
+        for name, version in report.pending.items():
+            if name not in self.loading:
+                self.loading[name] = Loading(
+                    now, version, self.fetch_s, is_reload=False, is_confirming=True
+                )
 
     def reset(self) -> None:
         """Forget everything after a restart of the engine."""
         self.models.clear()
         self.resident.clear()
         self.loading.clear()
+        self.near.clear()
--- a/src/filbertyard/gateway/admission.py
+++ b/src/filbertyard/gateway/admission.py
@@ -17,17 +17,33 @@
 # prompts kept for later requests and for answers longer than announced.
 MEMORY_FRACTION = 0.9
 
-# Prompts given to the engine and not yet answered may take this long to read.
-READ_AHEAD_S = 0.25
+# An engine reads prompts between the steps that generate tokens, so a step lasts as long
+# as the reading given to it. An event of several tokens takes as many steps; this part
+# of its longest pause may go into reading.
+READ_FRACTION = 0.6
 
-# Seconds to read one prompt token before anything was observed.
-FIRST_TOKEN_COST_S = 0.0001
+# Part of the time in which prompts are given to an engine for reading: running streams
+# need the rest to generate.
+READ_DUTY = 0.7
+
+# Reading given ahead where no pause is set, and the least, in seconds.
+DEFAULT_READ_S = 0.25
+LEAST_READ_S = 0.03
+
+# Seconds to read one prompt token before anything was observed, and its bounds.
+FIRST_TOKEN_COST_S = 0.00006
 LEAST_TOKEN_COST_S = 0.00002
 MOST_TOKEN_COST_S = 0.002
 
 # Weight of the newest observation in the learned costs.
 GAIN = 0.1
 
+# Weight that past observations keep in the regression of reading times.
+KEEP = 0.97
+
+# The regression counts from this many observations on.
+LEAST_OBSERVATIONS = 5.0
+
 # A running time before anything was observed, in seconds.
 FIRST_RUN_S = 2.0
 
@@ -79,47 +95,92 @@
     retry_after_s: float
 
 
+class ReadCost:
+    """Time to the first event as a constant and a cost for each token before it.
+
+    A linear regression over recent requests: the constant part of a first event does
+    not grow with the prompts that an engine reads.
+    """
+
+    def __init__(self) -> None:
+        self.token_s = FIRST_TOKEN_COST_S
+        self.n = 0.0
+        self.x = 0.0
+        self.y = 0.0
+        self.xx = 0.0
+        self.xy = 0.0
+
+    def observe(self, tokens: int, seconds: float) -> None:
+        """Learn from one request with `tokens` prompt tokens up to its own end."""
+        self.n = KEEP * self.n + 1.0
+        self.x = KEEP * self.x + tokens
+        self.y = KEEP * self.y + seconds
+        self.xx = KEEP * self.xx + tokens * tokens
+        self.xy = KEEP * self.xy + tokens * seconds
+        variance = self.n * self.xx - self.x * self.x
+        if self.n < LEAST_OBSERVATIONS or variance <= 0:
+            return
+        slope = (self.n * self.xy - self.x * self.y) / variance
+        self.token_s = min(MOST_TOKEN_COST_S, max(LEAST_TOKEN_COST_S, slope))
+
+
 class EngineQueue:
-    """Waiting and started requests of one engine."""
+    """Waiting and started requests of one engine.
 
-    def __init__(self, slots: int, kv_tokens: int) -> None:
+    `read_until` is when the engine should have read all prompts given to it: a leaky
+    bucket of reading time.
+    """
+
+    def __init__(
+        self, slots: int, kv_tokens: int, read_s: float = DEFAULT_READ_S
+    ) -> None:
         self.slots = slots
         self.kv_tokens = kv_tokens
+        self.read_s = read_s
+        self.read_until = 0.0
         self.waiting: list[Waiting] = []
         self.started: dict[str, Started] = {}
-        self.token_cost_s = FIRST_TOKEN_COST_S
+        self.read_cost = ReadCost()
         self.run_s = FIRST_RUN_S
         self.starts = 0
 
     @property
-    def reading_tokens(self) -> int:
-        """Return the prompt tokens that the engine has not answered yet."""
-        return sum(
-            item.waiting.prompt_tokens
-            for item in self.started.values()
-            if item.is_reading
-        )
+    def token_cost_s(self) -> float:
+        """Return the learned time to read one prompt token."""
+        return self.read_cost.token_s
 
     @property
     def memory_tokens(self) -> int:
         """Return the memory that the started requests may need, in tokens."""
         return sum(item.waiting.tokens for item in self.started.values())
 
-    def offer(self, item: Waiting, now: float) -> TurnedAway | None:
+    def offer(
+        self, item: Waiting, now: float, is_ready: Callable[[AdapterName], bool]
+    ) -> TurnedAway | None:
         """Add a request, or turn it away if it cannot be served in time."""
-        wait_s = self.wait_s(item)
+        wait_s = self.wait_s(now, is_ready, item.rank)
         if now + wait_s + LEAST_RUN_S > item.deadline:
             return TurnedAway("no_time", max(LEAST_RETRY_S, wait_s / 2))
         self.waiting.append(item)
         return None
 
-    def wait_s(self, item: Waiting | None = None) -> float:
-        """Estimate the time until a request is read, behind those that go first."""
+    def wait_s(
+        self,
+        now: float,
+        is_ready: Callable[[AdapterName], bool],
+        rank: int | None = None,
+    ) -> float:
+        """Estimate the time until a request of a rank is read, behind those before it.
+
+        Requests that wait for their adapter are not in the way of others.
+        """
         ahead = [
-            other for other in self.waiting if item is None or other.rank <= item.rank
+            other
+            for other in self.waiting
+            if (rank is None or other.rank <= rank) and is_ready(other.adapter)
         ]
-        tokens = self.reading_tokens + sum(other.prompt_tokens for other in ahead)
-        read_s = tokens * self.token_cost_s
+        tokens = sum(other.prompt_tokens for other in ahead)
+        read_s = max(0.0, self.read_until - now) + tokens * self.token_cost_s
         missing = len(self.started) + len(ahead) + 1 - self.slots
         slot_s = max(0, missing) * self.run_s / self.slots
         return max(read_s, slot_s)
@@ -137,7 +198,7 @@
             key=lambda item: (now > item.objective_at, item.rank, item.arrived),
         )
 
-    def has_room(self, item: Waiting) -> bool:
+    def has_room(self, item: Waiting, now: float) -> bool:
         """Tell if the engine takes a request now without making it wait inside."""
         if len(self.started) >= self.slots:
             return False
@@ -146,9 +207,9 @@
         memory = self.memory_tokens + item.tokens
         if memory > MEMORY_FRACTION * self.kv_tokens:
             return False
-        reading = self.reading_tokens
-        most = READ_AHEAD_S / self.token_cost_s
-        return reading == 0 or reading + item.prompt_tokens <= most
+        backlog_s = self.read_until - now
+        own_s = item.prompt_tokens * self.token_cost_s
+        return backlog_s <= 0 or backlog_s + own_s <= self.read_s
 
     def take(
         self, now: float, is_ready: Callable[[AdapterName], bool]
@@ -157,11 +218,15 @@
         for item in self.order(now):
             if not is_ready(item.adapter):
                 continue
-            if not self.has_room(item):
+            if not self.has_room(item, now):
                 return None
             self.waiting.remove(item)
             self.starts += 1
-            self.started[item.id] = Started(item, now, self.reading_tokens)
+            backlog_s = max(0.0, self.read_until - now)
+            ahead = int(backlog_s / self.token_cost_s)
+            self.started[item.id] = Started(item, now, ahead)
+            own_s = item.prompt_tokens * self.token_cost_s
+            self.read_until = now + backlog_s + own_s / READ_DUTY
             return item
         return None
 
@@ -172,11 +237,8 @@
             return
         item.is_reading = False
         tokens = item.ahead + item.waiting.prompt_tokens
-        if tokens <= 0:
-            return
-        cost = (now - item.at) / tokens
-        cost = min(MOST_TOKEN_COST_S, max(LEAST_TOKEN_COST_S, cost))
-        self.token_cost_s += GAIN * (cost - self.token_cost_s)
+        if tokens > 0:
+            self.read_cost.observe(tokens, now - item.at)
 
     def finish(self, request_id: str, now: float) -> Started | None:
         """Free the slot of a started request."""
@@ -203,3 +265,10 @@
             for request_id, item in self.started.items()
             if now > item.waiting.deadline + 1.0
         ]
+
+
+def read_ahead_s(gap_s: float, event_tokens: int) -> float:
+    """Return the reading that an engine may be given ahead, for a pause of `gap_s`."""
+    if gap_s <= 0:
+        return DEFAULT_READ_S
+    return max(LEAST_READ_S, READ_FRACTION * gap_s / max(1, event_tokens))
--- a/src/filbertyard/gateway/entry.py
+++ b/src/filbertyard/gateway/entry.py
@@ -107,6 +107,7 @@
     sends: int = 0
     asks: int = 0
     waited_s: float = 0.0
+    was_absent: bool = False
     replicas: list[str] = field(default_factory=list)
     causes: list[str] = field(default_factory=list)
 
@@ -292,6 +293,7 @@
             if granted is not None:
                 version = max(version, granted.version)
                 delivery.waited_s += granted.waited_s
+                delivery.was_absent = granted.was_absent
             if delivery.sends and not self.may_repeat(delivery, service):
                 self.owners.finished(replica.id, request.id, "not_run")
                 break
@@ -654,6 +656,7 @@
             total_s=now - request.arrived,
             objective_s=route.objective_s,
             waited_s=delivery.waited_s,
+            absent=delivery.was_absent or None,
             asks=delivery.asks or None,
             sends=delivery.sends,
             replicas=",".join(delivery.replicas),
--- a/src/filbertyard/gateway/host.py
+++ b/src/filbertyard/gateway/host.py
@@ -23,6 +23,7 @@
 from ..metrics import Metrics
 from ..peers import STREAM_BROKE
 from ..peers import PeerNetwork
+from .admission import read_ahead_s
 from .claims import Registrar
 from .claims import boot_clock
 from .directory import DirectoryApplication
@@ -302,6 +303,9 @@
         owner = ReplicaOwner(
             replica=replica,
             limits=service.engine,
+            read_s=read_ahead_s(
+                configuration.shortest_gap_s(service.name), service.engine.event_tokens
+            ),
             wire=self.wire,
             host=self.id,
             fence=fence,
--- a/src/filbertyard/gateway/links.py
+++ b/src/filbertyard/gateway/links.py
@@ -65,11 +65,15 @@
 @message("granted")
 @dataclass(slots=True)
 class Granted(Message):
-    """Allow a request to be sent now; `version` 0 leaves the version open."""
+    """Allow a request to be sent now; `version` 0 leaves the version open.
+
+    `was_absent` tells that the adapter had to be loaded first.
+    """
 
     request_id: str
     version: int = 0
     waited_s: float = 0.0
+    was_absent: bool = False
 
 
 @message("turned_away")
--- a/src/filbertyard/gateway/owner.py
+++ b/src/filbertyard/gateway/owner.py
@@ -79,6 +79,7 @@
 
     waiting: Waiting
     host: str
+    was_absent: bool
     answer: AsyncResult[Granted | RequestTurnedAway] = field(
         default_factory=AsyncResult
     )
@@ -92,6 +93,7 @@
         *,
         replica: Replica,
         limits: EngineLimits,
+        read_s: float,
         wire: Wire,
         host: str,
         fence: int,
@@ -108,7 +110,7 @@
         self.may_order = may_order
         self.publish = publish
         self.metrics = metrics
-        self.queue = EngineQueue(limits.slots, limits.kv_tokens)
+        self.queue = EngineQueue(limits.slots, limits.kv_tokens, read_s)
         self.plan = AdapterPlan(limits.adapter_slots, releases)
         self.health = HealthTable()
         self.http = HttpPeer(replica.address, timeout_s=REPORT_TIMEOUT_S, step="order")
@@ -117,6 +119,7 @@
         self.sequence = -1
         self.born_ms = replica.born_ms
         self.reported_at = float("-inf")
+        self.asked_at = float("-inf")
         self.model_ordered_at = float("-inf")
         self.absent: Counter[AdapterName] = Counter()
         self.changed = Event()
@@ -183,16 +186,16 @@
         if ask.request_id in self.queue.started:
             # The answer to the first question was lost with its stream.
             self.finish(ask.request_id, "withdrawn")
-        if not self.plan.is_ready(name):
+        if not self.plan.is_ready(name, now):
             if not self.is_loadable(name):
                 return self.turn_away(waiting, host, "adapter_not_loadable", 0.3)
             load_s = 0.0 if name in self.plan.loading else self.load_wait_s(now)
             if now + load_s + LEAST_RUN_S > waiting.deadline:
                 return self.turn_away(waiting, host, "no_place_in_time", load_s / 2)
-        refused = self.queue.offer(waiting, now)
+        refused = self.queue.offer(waiting, now, self.plan.is_held)
         if refused is not None:
             return self.turn_away(waiting, host, refused.cause, refused.retry_after_s)
-        pending = Pending(waiting, host)
+        pending = Pending(waiting, host, not self.plan.is_held(name))
         self.pending[waiting.id] = pending
         self.grant(now)
         if not pending.answer.ready():
@@ -239,7 +242,7 @@
     def grant(self, now: float) -> None:
         """Grant what may start now."""
         while True:
-            waiting = self.queue.take(now, self.plan.is_ready)
+            waiting = self.queue.take(now, lambda name: self.plan.is_ready(name, now))
             if waiting is None:
                 return
             self.dirty = True
@@ -254,11 +257,20 @@
             self.metrics.observe(
                 "filbertyard_queue_wait_seconds", waited_s, rank=str(waiting.rank)
             )
-            pending.answer.set(Granted(waiting.id, version, waited_s))
+            pending.answer.set(
+                Granted(waiting.id, version, waited_s, pending.was_absent)
+            )
+
+    def grant_ready(self) -> None:
+        """Grant what waited for a load that should be over."""
+        self.grant(time.monotonic())
 
     def first_event(self, request_id: str) -> None:
         """Take over that the engine answered a request."""
         now = time.monotonic()
+        started = self.queue.started.get(request_id)
+        if started is not None:
+            self.plan.note_started(started.waiting.adapter)
         self.queue.note_first_event(request_id, now)
         self.health.note(self.replica.id, False, now)
         self.dirty = True
@@ -289,7 +301,10 @@
 
     def note_absent(self, name: AdapterName) -> None:
         """Note that the engine said that it does not hold an adapter."""
-        if self.plan.is_ready(name):
+        if self.plan.note_too_early(name):
+            self.changed.set()
+            return
+        if self.plan.is_held(name):
             log_event(logger, "adapter_absent", replica=self.replica.id, adapter=name)
             # The next report tells what the engine holds instead.
             self.reported_at = float("-inf")
@@ -325,12 +340,12 @@
     def load(self, now: float) -> ReplicaLoad:
         """Return the load of the replica as the other hosts need it."""
         plan = self.plan
-        ready = [name for name in plan.resident if plan.is_ready(name)]
+        ready = [name for name in plan.resident if plan.is_held(name)]
         ready += [AdapterName(model, "") for model in plan.models]
         return ReplicaLoad(
             replica=self.replica.id,
             fence=self.fence,
-            wait_s=self.queue.wait_s(),
+            wait_s=self.queue.wait_s(now, plan.is_held),
             token_cost_s=self.queue.token_cost_s,
             running=len(self.queue.started),
             load_wait_s=self.load_wait_s(now),
@@ -351,7 +366,7 @@
             item.adapter
             for item in self.queue.waiting
             if item.adapter not in self.plan.loading
-            and not self.plan.is_ready(item.adapter)
+            and not self.plan.is_held(item.adapter)
         }
         return self.plan.load_wait_s(len(absent), now)
 
@@ -385,26 +400,38 @@
             or self.reported_at == float("-inf")
             or (self.queue.waiting and now - self.reported_at > REPORT_AGE_S)
         )
-        if needs_report or self.plan.is_report_due(now):
+        if needs_report:
             self.read_report()
-            if self.plan.is_report_due(time.monotonic()):
-                gevent.sleep(REPORT_PAUSE_S)
-            return 0.0 if self.plan.loading else 0.001
-        if not self.may_order():
-            return TICK_S
-        if not self.plan.models:
+            return 0.001
+        step = self.next_step(now)
+        if step is not None:
+            self.carry_out(step)
+            return 0.0
+        self.grant(now)
+        if self.plan.is_report_due(now):
+            if now - self.asked_at >= REPORT_PAUSE_S:
+                self.read_report()
+            return REPORT_PAUSE_S
+        if not self.plan.models and self.may_order():
             return self.load_model(now)
+        return self.pause_s(now)
+
+    def next_step(self, now: float) -> Step | None:
+        """Return the next order that the waiting requests call for."""
+        if not self.may_order() or not self.plan.models:
+            return None
         names = [item.adapter for item in self.queue.order(now)]
-        step = self.plan.next_step(names, now)
-        if all(self.plan.is_ready(name) for name in names):
+        if all(self.plan.is_held(name) for name in names):
             self.plan.note_idle(now)
-        if step is None:
-            due = [
-                began + self.plan.load_s - now for began in self.plan.loading.values()
-            ]
-            return max(0.005, min([*due, TICK_S]))
-        self.carry_out(step)
-        return 0.0
+        return self.plan.next_step(names, now)
+
+    def pause_s(self, now: float) -> float:
+        """Return the time until a load should end or a report is due."""
+        due = [TICK_S]
+        for load in self.plan.loading.values():
+            ends = load.began + load.expected_s
+            due.append((ends if now < ends else self.plan.report_due(load)) - now)
+        return max(0.002, min(due))
 
     def load_model(self, now: float) -> float:
         """Order the base model of an empty engine; return how long to pause."""
@@ -440,7 +467,8 @@
                 self.grant(time.monotonic())
                 return
             self.sequence += 1
-            self.plan.begin_load(step.name, time.monotonic())
+            expected_s = self.plan.begin_load(step.name, time.monotonic())
+            gevent.spawn_later(expected_s, self.grant_ready)
             return
         self.sequence += 1
         if result == "held":
@@ -510,6 +538,7 @@
 
     def read_report(self) -> None:
         """Read the engine's report and reconcile; raise UpstreamError."""
+        self.asked_at = time.monotonic()
         message = self.wire.report(self.replica.id)
         response, body = self.http.exchange(
             message.method,
--- a/src/filbertyard/gateway/types.py
+++ b/src/filbertyard/gateway/types.py
@@ -30,7 +30,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Route:
-    """How requests of one host and path prefix are served; rank 0 is most urgent."""
+    """How requests of one host and path prefix are served; rank 0 is most urgent.
+
+    `gap_s` is the longest pause between two events of a stream, 0 where none is set.
+    """
 
     name: str
     host: str
@@ -42,6 +45,7 @@
     services: tuple[WeightedService, ...]
     max_replicas: int
     is_resumable: bool = False
+    gap_s: float = 0.0
 
     @property
     def may_repeat(self) -> bool:
@@ -60,13 +64,17 @@
 
 @dataclass(frozen=True, slots=True)
 class EngineLimits:
-    """What one replica of a model engine holds and runs at once."""
+    """What one replica of a model engine holds and runs at once.
+
+    `event_tokens` is how many tokens an event of a stream carries.
+    """
 
     slots: int
     kv_tokens: int
     adapter_slots: int
     weights_mb: float
     models: dict[str, ModelLimits]
+    event_tokens: int = 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,6 +107,16 @@
     limits: RequestLimits | None
     by_host: dict[str, tuple[Route, ...]] = field(default_factory=dict)
 
+    def shortest_gap_s(self, service: str) -> float:
+        """Return the shortest pause that a route to a service allows, 0 for none."""
+        gaps = [
+            route.gap_s
+            for route in self.routes
+            if route.gap_s > 0
+            and any(item.service == service for item in route.services)
+        ]
+        return min(gaps, default=0.0)
+
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route of `host` with the longest prefix of `path`."""
         for route in self.by_host.get(host, ()):
--- a/src/filbertyard/platform/documents.py
+++ b/src/filbertyard/platform/documents.py
@@ -67,6 +67,7 @@
     # Replicas that one attempt of a client may run on, not sends.
     max_attempts: int = Field(default=1, alias="maxAttempts")
     resumable: bool = False
+    gap_ms: float = Field(default=0.0, alias="gapTargetMs", ge=0)
 
     def decode(self) -> Route:
         """Return the route in the product's terms."""
@@ -88,6 +89,7 @@
             services=services,
             max_replicas=self.max_attempts,
             is_resumable=self.resumable,
+            gap_s=self.gap_ms / 1000,
         )
 
 
@@ -108,6 +110,8 @@
     adapter_slots: int = Field(default=0, alias="adapterSlots")
     weights_mb: float = Field(default=0.0, alias="weightsMb")
     models: list[ModelDocument] = []
+    # Tokens in one event of a stream.
+    stride: int = Field(default=1, gt=0)
 
     def decode(self) -> EngineLimits:
         """Return the limits in the product's terms."""
@@ -116,7 +120,12 @@
             for model in self.models
         }
         return EngineLimits(
-            self.slots, self.kv_tokens, self.adapter_slots, self.weights_mb, models
+            self.slots,
+            self.kv_tokens,
+            self.adapter_slots,
+            self.weights_mb,
+            models,
+            self.stride,
         )
 
 
