--- a/src/filbertyard/gateway/admission.py
+++ b/src/filbertyard/gateway/admission.py
@@ -17,9 +17,9 @@
 # prompts kept for later requests and for answers longer than announced.
 MEMORY_FRACTION = 0.9
 
-# An engine reads prompts between the steps that generate tokens, so a step lasts as long
-# as the reading given to it. An event of several tokens takes as many steps; this part
-# of its longest pause may go into reading.
+# An engine reads prompts between the steps that generate tokens, so a step lasts as
+# long as the reading given to it. An event of several tokens takes as many steps; this
+# part of its longest pause may go into reading.
 READ_FRACTION = 0.6
 
 # Part of the time in which prompts are given to an engine for reading: running streams
--- a/src/filbertyard/gateway/claims.py
+++ b/src/filbertyard/gateway/claims.py
@@ -10,10 +10,12 @@
 import gevent
 from gevent.event import Event
 
+from ..exceptions import CallRefusedError
 from ..exceptions import KeyValueError
 from ..exceptions import LeaseEndedError
 from ..keyvalue import Compare
 from ..keyvalue import Delete
+from ..keyvalue import Item
 from ..keyvalue import KeyValue
 from ..keyvalue import Put
 from ..keyvalue import Write
@@ -161,6 +163,7 @@
                 continue
             try:
                 self.claim()
+                self.settle()
                 self.forget_gone()
             except KeyValueError as error:
                 log_event(
@@ -187,8 +190,10 @@
         """Claim what this host should own; raise KeyValueError."""
         now = time.monotonic()
         replicas = self.engines()
-        for replica in replicas:
-            self.unowned_since.setdefault(replica, now)
+        is_settled = boot_clock() - self.started_at >= SETTLE_S
+        if is_settled:
+            for replica in replicas:
+                self.unowned_since.setdefault(replica, now)
         decisions = decide_claims(
             host=self.record(),
             replicas=replicas,
@@ -205,60 +210,66 @@
             is_owned = record is not None and record.host in self.state.hosts
             if is_owned and record is not None and not record.is_released:
                 del self.unowned_since[replica]
-        is_settled = boot_clock() - self.started_at >= SETTLE_S
         for decision in decisions:
             if is_settled or decision.cause == "restarted":
                 self.claim_one(decision)
 
     def claim_one(self, decision: ClaimDecision) -> None:
-        """Write one owner record; raise KeyValueError."""
-        record = self.record()
-        key = OWNER_PREFIX + decision.replica
-        value = {"host": record.id, "instance": record.instance, "released": False}
-        sent_at = boot_clock()
-        try:
-            result = self.store.txn(
-                [Compare(key, decision.revision)], [Put(key, encode(value))]
-            )
-            fence = result.revision if result.succeeded else 0
-        except KeyValueError:
-            # The write may have taken effect although its answer was lost.
-            found = self.store.range(key)
-            fence = 0
-            for item in found.items:
-                if item.value == encode(value) and item.mod_revision:
-                    fence = item.mod_revision
+        """Claim one replica; raise KeyValueError."""
+        fence = self.write_owner(decision.replica, decision.revision, decision.wait_s)
         if not fence:
             log_event(logger, "claim_lost", replica=decision.replica)
             return
-        item_now = time.monotonic()
-        found = self.store.range(key)
-        for item in found.items:
-            self.state.put(self.state.own, item, item_now, "store")
-        owner = self.state.owners.get(decision.replica)
-        if owner is None or (owner.host, owner.instance) != (
-            record.id,
-            record.instance,
-        ):
-            log_event(logger, "claim_lost", replica=decision.replica)
-            return
-        begin = max(boot_clock(), sent_at) + decision.wait_s
-        self.tenure.add(decision.replica, owner.fence, begin)
+        self.tenure.add(decision.replica, fence, boot_clock(), decision.wait_s)
         log_event(
             logger,
             "claimed",
             replica=decision.replica,
             cause=decision.cause,
-            fence=owner.fence,
+            fence=fence,
             orders_in_s=decision.wait_s,
         )
 
+    def write_owner(self, replica: str, revision: int, wait_s: float) -> int:
+        """Write an owner record over `revision`; return its fence, 0 if it was lost."""
+        record = self.record()
+        key = OWNER_PREFIX + replica
+        value = encode(owner_value(record, released=False, wait_s=wait_s))
+        fence = 0
+        try:
+            result = self.store.txn([Compare(key, revision)], [Put(key, value)])
+            if result.succeeded:
+                fence = result.revision
+        except CallRefusedError:
+            raise
+        except KeyValueError:
+            # The write may have taken effect although its answer was lost.
+            found = self.store.range(key)
+            for item in found.items:
+                if item.value == value and item.mod_revision > revision:
+                    fence = item.mod_revision
+        if fence:
+            now = time.monotonic()
+            self.state.put(self.state.own, Item(key, value, 0, fence), now, "own write")
+        return fence
+
+    def settle(self) -> None:
+        """Remove the waits that are over from the records; raise KeyValueError."""
+        for replica in self.tenure.settled(boot_clock()):
+            claim = self.tenure.claims[replica]
+            fence = self.write_owner(replica, claim.fence, 0.0)
+            if fence:
+                self.tenure.add(replica, fence, boot_clock(), 0.0)
+            else:
+                del self.tenure.claims[replica]
+                log_event(logger, "claim_lost", replica=replica)
+
     def release_all(self) -> None:
         """Give up all claims before this host leaves."""
         record = self.record()
         claims = dict(self.tenure.claims)
         self.tenure.claims.clear()
-        value = {"host": record.id, "instance": record.instance, "released": True}
+        value = owner_value(record, released=True, wait_s=0.0)
         for replica, claim in claims.items():
             key = OWNER_PREFIX + replica
             try:
@@ -291,6 +302,18 @@
             self.store.txn(compares[:MAX_TXN_WRITES], writes[:MAX_TXN_WRITES])
 
 
+def owner_value(
+    record: HostRecord, *, released: bool, wait_s: float
+) -> dict[str, object]:
+    """Return the value of an owner record."""
+    return {
+        "host": record.id,
+        "instance": record.instance,
+        "released": released,
+        "wait_s": wait_s,
+    }
+
+
 def encode(value: dict[str, object]) -> bytes:
     """Return a record as stored."""
     return json.dumps(value, separators=(",", ":")).encode()
--- a/src/filbertyard/gateway/entry.py
+++ b/src/filbertyard/gateway/entry.py
@@ -52,7 +52,7 @@
 REPLICA_CONNECTIONS = 1024
 
 # Owners asked for one request before it is turned away.
-MAX_ASKS = 3
+MAX_ASKS = 4
 
 # Causes that tell that a host does not own the replica it was asked about.
 NO_OWNER = ("not_owner", "owner_changed")
@@ -272,10 +272,6 @@
             if candidate is None or delivery.asks >= MAX_ASKS:
                 break
             delivery.asks += 1
-            replica = self.state.replicas.get(candidate.replica)
-            if replica is None:
-                excluded[candidate.replica] += 1
-                continue
             granted = self.ask(delivery, candidate, name, is_missing)
             if isinstance(granted, RequestTurnedAway) and granted.cause in NO_OWNER:
                 delivery.causes.append(granted.cause)
@@ -294,6 +290,13 @@
                 version = max(version, granted.version)
                 delivery.waited_s += granted.waited_s
                 delivery.was_absent = granted.was_absent
+            replica = self.state.replicas.get(candidate.replica)
+            if replica is None or replica.is_leaving:
+                # It began to leave while the request waited.
+                self.owners.finished(candidate.replica, request.id, "not_run")
+                delivery.causes.append("replica_leaving")
+                excluded[candidate.replica] += 1
+                continue
             if delivery.sends and not self.may_repeat(delivery, service):
                 self.owners.finished(replica.id, request.id, "not_run")
                 break
--- a/src/filbertyard/gateway/host.py
+++ b/src/filbertyard/gateway/host.py
@@ -141,6 +141,7 @@
         self.known: dict[str, PeerHost] = {}
         self.is_leaving = False
         self.servers: list[CallerServer] = []
+        self.tasks: list[gevent.Greenlet[..., None]] = []
         for message, handler in (
             (Digest, self.take_digest),
             (ReplicaLoad, self.take_load),
@@ -173,12 +174,10 @@
         for server in self.servers:
             server.start()
         self.peers.start()
-        for watcher in self.watchers:
-            gevent.spawn(watcher.run)
-        gevent.spawn(self.registrar.run)
-        gevent.spawn(self.registrar.run_claims)
-        gevent.spawn(self.run_digests)
-        gevent.spawn(self.run_owned)
+        tasks = [watcher.run for watcher in self.watchers]
+        tasks += [self.registrar.run, self.registrar.run_claims]
+        tasks += [self.run_digests, self.run_owned]
+        self.tasks = [gevent.spawn(task) for task in tasks]
         log_event(
             logger,
             "started",
@@ -284,11 +283,10 @@
                     log_event(logger, "owner_stopped", replica=replica)
             for replica, claim in list(self.tenure.claims.items()):
                 owner = self.owned.get(replica)
-                if owner is not None and owner.fence == claim.fence:
+                if owner is not None:
+                    owner.fence = claim.fence
                     owner.update(self.state.replicas[replica])
                     continue
-                if owner is not None:
-                    self.owned.pop(replica).stop()
                 self.start_owner(replica, claim.fence)
 
     def start_owner(self, replica_id: str, fence: int) -> None:
@@ -474,8 +472,17 @@
             open_requests=self.entry.open_requests,
             took_s=time.monotonic() - began,
         )
+        self.stop()
+
+    def stop(self) -> None:
+        """End all tasks and close all connections."""
+        for greenlet in self.tasks:
+            greenlet.kill(block=False)
+        for owner in self.owned.values():
+            owner.stop()
         for server in self.servers:
             server.stop(timeout=0)
+        self.peers.stop()
 
 
 def create_gateway_host(settings: GatewaySettings, wire: Wire) -> GatewayHost:
--- a/src/filbertyard/gateway/owner.py
+++ b/src/filbertyard/gateway/owner.py
@@ -135,18 +135,23 @@
         """Stop and turn away what waits."""
         for greenlet in self.greenlets:
             greenlet.kill(block=False)
-        for pending in list(self.pending.values()):
-            pending.answer.set(
-                RequestTurnedAway(pending.waiting.id, "owner_changed", 0.0)
-            )
-        self.pending.clear()
+        self.turn_all_away("owner_changed")
         self.http.close()
 
+    def turn_all_away(self, cause: str) -> None:
+        """Turn away what waits, so that it goes to another replica."""
+        for pending in list(self.pending.values()):
+            if not pending.answer.ready():
+                self.queue.withdraw(pending.waiting.id)
+                pending.answer.set(RequestTurnedAway(pending.waiting.id, cause, 0.0))
+
     def update(self, replica: Replica) -> None:
         """Take over a new entry of the replica."""
         if replica.born_ms != self.born_ms:
             self.restarted(replica.born_ms)
         self.replica = replica
+        if replica.is_leaving and self.pending:
+            self.turn_all_away("replica_leaving")
 
     def restarted(self, born_ms: int) -> None:
         """Forget what the engine held before its restart."""
@@ -182,6 +187,8 @@
             prompt_tokens=ask.prompt_tokens,
             output_tokens=ask.output_tokens,
         )
+        if self.replica.is_leaving:
+            return RequestTurnedAway(ask.request_id, "replica_leaving", 0.0)
         self.plan.touch(name, now)
         if ask.request_id in self.queue.started:
             # The answer to the first question was lost with its stream.
--- a/src/filbertyard/gateway/state.py
+++ b/src/filbertyard/gateway/state.py
@@ -255,6 +255,7 @@
                     instance=str(value["instance"]),
                     fence=item.mod_revision,
                     is_released=bool(value["released"]),
+                    wait_s=float(value["wait_s"]),
                 )
                 self.owners[owner.replica] = owner
                 log_event(
--- a/src/filbertyard/gateway/tenure.py
+++ b/src/filbertyard/gateway/tenure.py
@@ -37,10 +37,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Claim:
-    """One replica that this host owns; orders may begin at `not_before`."""
+    """One replica that this host owns; orders may begin at `not_before`.
+
+    `wait_s` is the wait that the record in the store still names.
+    """
 
     fence: int
     not_before: float
+    wait_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,9 +78,17 @@
         claim = self.claims.get(replica)
         return claim is not None and now >= claim.not_before and self.is_valid(now)
 
-    def add(self, replica: str, fence: int, not_before: float) -> None:
+    def add(self, replica: str, fence: int, now: float, wait_s: float) -> None:
         """Note a claim that the store accepted."""
-        self.claims[replica] = Claim(fence, not_before)
+        self.claims[replica] = Claim(fence, now + wait_s, wait_s)
+
+    def settled(self, now: float) -> list[str]:
+        """Return the claims whose wait is over but still stands in the store."""
+        return [
+            replica
+            for replica, claim in self.claims.items()
+            if claim.wait_s > 0 and now >= claim.not_before
+        ]
 
     def keep(
         self, records: Mapping[str, OwnerRecord], host: str, instance: str
@@ -142,7 +154,8 @@
                 known.fence if known is not None else 0,
                 {
                     "new": 0.0,
-                    "restarted": 0.0,
+                    # A wait that the earlier process did not finish begins again.
+                    "restarted": known.wait_s if known is not None else 0.0,
                     "released": tenure.order_gap_s + GUARD_S,
                     "lost": tenure.succession_wait_s(),
                 }[cause],
--- a/src/filbertyard/gateway/types.py
+++ b/src/filbertyard/gateway/types.py
@@ -186,13 +186,18 @@
 
 @dataclass(frozen=True, slots=True)
 class OwnerRecord:
-    """Which host gives orders to a replica; `fence` rises with every claim."""
+    """Which host gives orders to a replica; `fence` rises with every claim.
+
+    `wait_s` is how long the owner must wait after the claim before its first order; it
+    is 0 once that time has passed.
+    """
 
     replica: str
     host: str
     instance: str
     fence: int
     is_released: bool = False
+    wait_s: float = 0.0
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/src/filbertyard/platform/standins.py
@@ -0,0 +1,412 @@
+"""Stand-ins of the platform's store and of its replicas, with their failures."""
+
+from __future__ import annotations
+
+import json
+import time
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import dataclass
+from dataclasses import field
+from typing import Any
+from urllib.parse import parse_qs
+
+import gevent
+
+from ..keyvalue import Item
+from ..keyvalue import encode_bytes
+from ..standins.keyvalue import KeyValueStandin
+from ..standins.web import Environ
+from ..standins.web import Standin
+from ..standins.web import StartResponse
+from ..standins.web import break_connection
+from ..standins.web import read_body
+from ..standins.web import read_json
+from ..standins.web import send_json
+
+REFUSED_STATUS = 503
+
+# Longest time that the store holds a watch.
+MAX_WATCH_S = 30.0
+
+
+def shown(item: Item) -> dict[str, Any]:
+    """Return an item as the store shows it."""
+    return {
+        "key": item.key,
+        "value": encode_bytes(item.value),
+        "revision": item.mod_revision,
+        "created": item.create_revision,
+        "lease": item.lease,
+    }
+
+
+class StoreStandin(KeyValueStandin):
+    """The platform's store: the stand-in of the key-value service in other words."""
+
+    def __init__(self, port: int = 0) -> None:
+        super().__init__(port)
+        self.compacted = 0
+        self.page_items = 500
+
+    def application(
+        self, environ: Environ, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Answer one call."""
+        path = environ["PATH_INFO"]
+        query = {
+            key: values[0]
+            for key, values in parse_qs(environ.get("QUERY_STRING", "")).items()
+        }
+        self.count(path)
+        faults = self.faults
+        if faults.delay_s:
+            gevent.sleep(faults.delay_s)
+        if faults.away:
+            return send_json(start_response, {"error": "away"}, REFUSED_STATUS)
+        self.expire_leases()
+        if path == "/api/kv-watch":
+            return self.wait_changes(query, start_response)
+        body = read_json(environ) if environ["REQUEST_METHOD"] == "POST" else {}
+        is_write = path in ("/api/kv-txn", "/api/kv-lease")
+        if is_write and faults.drop_writes > 0:
+            faults.drop_writes -= 1
+            return send_json(start_response, {"error": "dropped"}, REFUSED_STATUS)
+        status, value = self.call(path, query, body)
+        if is_write and faults.lose_responses > 0:
+            faults.lose_responses -= 1
+            return break_connection(environ)
+        value["currentRev"] = self.revision
+        return send_json(start_response, value, status)
+
+    def call(
+        self, path: str, query: dict[str, str], body: dict[str, Any]
+    ) -> tuple[int, dict[str, Any]]:
+        """Return status and body of one call other than a watch."""
+        name, _, rest = path.removeprefix("/api/").partition("/")
+        if name == "kv-key":
+            item = self.items.get(query["key"])
+            return (200, shown(item)) if item is not None else (404, {})
+        if name == "kv-range":
+            return 200, self.page(query["prefix"], query.get("after", ""))
+        if name == "kv-txn":
+            return self.transact(body)
+        if name == "kv-lease":
+            answer = self.lease_grant({"TTL": str(int(body["ttlMs"]) // 1000)})
+            return 200, {"lease": int(answer["ID"]), "ttlMs": body["ttlMs"]}
+        if name == "kv-keep":
+            answer = self.lease_keepalive({"ID": rest})["result"]
+            ttl_ms = int(answer["TTL"]) * 1000
+            return (200, {"ttlMs": ttl_ms}) if ttl_ms else (404, {})
+        return 404, {}
+
+    def page(self, prefix: str, after: str) -> dict[str, Any]:
+        """Return one page of the items below a prefix."""
+        names = sorted(
+            key for key in self.items if key.startswith(prefix) and key > after
+        )
+        page = names[: self.page_items]
+        items = [shown(self.items[key]) for key in page]
+        return {"items": items, "truncated": len(page) < len(names)}
+
+    def transact(self, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
+        """Apply a transaction if everything expected holds."""
+        for row in body.get("expected", []):
+            item = self.items.get(row["key"])
+            if (item.mod_revision if item is not None else 0) != row["revision"]:
+                found = [
+                    shown(self.items[other["key"]])
+                    for other in body["expected"]
+                    if other["key"] in self.items
+                ]
+                return 412, {"items": found}
+        for put in body.get("puts", []):
+            if put.get("lease") and put["lease"] not in self.leases:
+                return 404, {}
+        self.revision += 1
+        for put in body.get("puts", []):
+            self.apply_put(
+                {
+                    "key": encode_bytes(put["key"]),
+                    "value": put["value"],
+                    "lease": put.get("lease", 0),
+                }
+            )
+        for key in body.get("remove", []):
+            self.remove(key)
+        self.notify()
+        return 200, {"revision": self.revision}
+
+    def write(self, key: str, value: Any) -> int:
+        """Write a key as the operator or a replica does; return its revision."""
+        data = value if isinstance(value, bytes) else json.dumps(value).encode()
+        put = {"key": key, "value": encode_bytes(data)}
+        return int(self.transact({"puts": [put]})[1]["revision"])
+
+    def erase(self, key: str) -> None:
+        """Remove a key."""
+        self.transact({"remove": [key]})
+
+    def compact(self) -> None:
+        """Forget the history; watches that need it are told so."""
+        self.compacted = self.revision
+        self.changes.clear()
+        self.notify()
+
+    def wait_changes(
+        self, query: dict[str, str], start_response: StartResponse
+    ) -> list[bytes]:
+        """Answer a watch as soon as there is a change."""
+        after = int(query["after"])
+        end = time.monotonic() + min(MAX_WATCH_S, int(query["waitMs"]) / 1000)
+        while True:
+            if self.faults.away:
+                return send_json(start_response, {"error": "away"}, REFUSED_STATUS)
+            if after < self.compacted:
+                start_response("410 Gone", [("Content-Length", "2")])
+                return [b"{}"]
+            events = [
+                {"key": change.item.key, "revision": change.revision, "removed": True}
+                if change.kind == "DELETE"
+                else shown(change.item)
+                for change in self.changes
+                if change.revision > after
+                and change.item.key.startswith(query["prefix"])
+            ]
+            left_s = end - time.monotonic()
+            if events or left_s <= 0:
+                value = {"events": events, "currentRev": self.revision}
+                return send_json(start_response, value)
+            self.changed.wait(min(left_s, 0.2))
+            self.expire_leases()
+
+
+@dataclass(slots=True)
+class ReplicaFaults:
+    """Failures of a replica that a test switches on, each for a number of calls."""
+
+    refuse: int = 0
+    fail: int = 0
+    reset: int = 0
+    reset_midway: int = 0
+    hang_s: float = 0.0
+    unsigned: int = 0
+    foreign: int = 0
+    extra: int = 0
+    lose_orders: int = 0
+    late_orders: list[dict[str, Any]] = field(default_factory=list)
+
+
+class ReplicaStandin(Standin):
+    """A replica of a plain service, or of a model engine if `model` is given."""
+
+    def __init__(
+        self,
+        replica: str,
+        service: str,
+        *,
+        model: str = "",
+        adapter_slots: int = 4,
+        load_s: float = 0.02,
+        event_s: float = 0.002,
+        events: int = 4,
+    ) -> None:
+        super().__init__()
+        self.id = replica
+        self.service = service
+        self.model = model
+        self.adapter_slots = adapter_slots
+        self.load_s = load_s
+        self.event_s = event_s
+        self.events = events
+        self.born = 1
+        self.sequence = 0
+        self.adapters: dict[str, int] = {}
+        self.pending: dict[str, int] = {}
+        self.running: Counter[str] = Counter()
+        self.faults = ReplicaFaults()
+        self.runs: list[dict[str, Any]] = []
+        self.orders: list[dict[str, Any]] = []
+        self.overfilled = 0
+        self.evicted_in_use = 0
+        self.cancelled = 0
+
+    def entry(self, state: str = "ready") -> dict[str, Any]:
+        """Return what the replica writes of itself."""
+        return {
+            "service": self.service,
+            "address": self.address,
+            "zone": "a",
+            "slots": 8,
+            "state": state,
+            "born": self.born,
+            "models": self.held(),
+            "sequence": self.sequence,
+        }
+
+    def held(self) -> list[dict[str, Any]]:
+        """Return the models and adapters that the replica holds."""
+        if not self.model:
+            return []
+        adapters = [f"{name}@{version}" for name, version in self.adapters.items()]
+        return [{"name": self.model, "version": 1, "adapters": adapters}]
+
+    def application(
+        self, environ: Environ, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Answer one call."""
+        target = environ.get("HTTP_TARGET_INSTANCE", self.id)
+        body = read_body(environ)
+        if target != self.id:
+            return self.misdirected(start_response)
+        path = environ["PATH_INFO"]
+        if path == "/api/report":
+            return send_json(start_response, self.report())
+        if path == "/api/order":
+            return self.order(environ, json.loads(body), start_response)
+        return self.run(environ, body, start_response)
+
+    def misdirected(self, start_response: StartResponse) -> list[bytes]:
+        """Refuse what this replica cannot run."""
+        headers = [("Instance-Id", self.id), ("Content-Length", "0")]
+        start_response("421 Misdirected Request", headers)
+        return [b""]
+
+    def report(self) -> dict[str, Any]:
+        """Return the state of the engine."""
+        return {
+            "models": self.held(),
+            "busy": False,
+            "sequence": self.sequence,
+            "pending": [f"{self.model}/{key}@{v}" for key, v in self.pending.items()],
+            "born": self.born,
+            "running": sum(self.running.values()),
+            "queued": 0,
+        }
+
+    def order(
+        self, environ: Environ, order: dict[str, Any], start_response: StartResponse
+    ) -> list[bytes]:
+        """Carry out an order, or lose its answer."""
+        self.orders.append(order)
+        if self.faults.lose_orders > 0:
+            self.faults.lose_orders -= 1
+            self.faults.late_orders.append(order)
+            gevent.sleep(0.5)
+            return break_connection(environ)
+        return send_json(start_response, {}, self.apply_order(order))
+
+    def apply_order(self, order: dict[str, Any]) -> int:
+        """Apply an order at the sequence that it expects and return the status."""
+        if order.get("expected", self.sequence) != self.sequence:
+            return 409
+        self.sequence += 1
+        name = order.get("adapter", "")
+        if order["operation"] == "unload":
+            self.evicted_in_use += self.running[name] > 0
+            self.adapters.pop(name, None)
+            return 200
+        self.adapters.pop(name, None)
+        if len(self.adapters) + len(self.pending) >= self.adapter_slots:
+            self.overfilled += 1
+        self.pending[name] = order.get("version", 1)
+        gevent.spawn_later(self.load_s, self.finish_load, name)
+        return 202
+
+    def finish_load(self, name: str) -> None:
+        """End a load."""
+        if name in self.pending:
+            self.adapters[name] = self.pending.pop(name)
+
+    def restart(self) -> None:
+        """Forget everything, as after a crash."""
+        self.born += 1
+        self.sequence = 0
+        self.adapters.clear()
+        self.pending.clear()
+
+    def run(
+        self, environ: Environ, body: bytes, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Run one request, or fail as a test wants it."""
+        faults = self.faults
+        name = environ.get("HTTP_MODEL", "").partition("/")[2]
+        version = int(environ.get("HTTP_EXPECTED_VERSION", "0"))
+        held = self.adapters.get(name, 0)
+        if name and (not held or (version and held != version)):
+            return self.misdirected(start_response)
+        if faults.refuse > 0:
+            faults.refuse -= 1
+            headers = [("Not-Executed", "1"), ("Content-Length", "0")]
+            start_response("503 Service Unavailable", headers)
+            return [b""]
+        self.runs.append(
+            {
+                "id": environ.get("HTTP_REQUEST_ID", ""),
+                "name": name,
+                "version": held,
+                "body": body,
+                "method": environ["REQUEST_METHOD"],
+                "path": environ["standin.handler"].path,
+                "headers": {k: v for k, v in environ.items() if k.startswith("HTTP_")},
+                "resumed": environ.get("HTTP_LAST_EVENT_ID", ""),
+                "at": time.monotonic(),
+            }
+        )
+        if faults.hang_s:
+            gevent.sleep(faults.hang_s)
+        if faults.reset > 0:
+            faults.reset -= 1
+            return break_connection(environ)
+        return self.answer(environ, name, start_response)
+
+    def answer(
+        self, environ: Environ, name: str, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Answer a request that ran."""
+        faults = self.faults
+        headers = [("Request-Id", environ.get("HTTP_REQUEST_ID", ""))]
+        if faults.foreign > 0:
+            faults.foreign -= 1
+            headers = [("Request-Id", "another")]
+        if faults.unsigned > 0:
+            faults.unsigned -= 1
+        else:
+            headers.append(("Response-Signature", f"{self.id}.{len(self.runs)}"))
+        headers.append(("Server-Load", f"{sum(self.running.values())},0,8"))
+        if faults.fail > 0:
+            faults.fail -= 1
+            start_response("500 Internal Server Error", headers)
+            return [b"failed"]
+        if not self.model:
+            data = f"{self.id} ran".encode()
+            if faults.extra > 0:
+                faults.extra -= 1
+                second = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra"
+                headers.append(("Content-Length", str(len(data))))
+                start_response("200 OK", headers)
+                # The second answer follows in the same segment.
+                return [data + second]
+            start_response("200 OK", headers)
+            return [data]
+        start_response("200 OK", [*headers, ("Content-Type", "text/event-stream")])
+        return self.stream(environ, name)
+
+    def stream(self, environ: Environ, name: str) -> Iterable[bytes]:
+        """Yield numbered events; a test can break the stream in the middle."""
+        start = int(environ.get("HTTP_LAST_EVENT_ID") or 0)
+        self.running[name] += 1
+        finished = False
+        try:
+            for number in range(start + 1, self.events + 1):
+                gevent.sleep(self.event_s)
+                if self.faults.reset_midway > 0 and number > self.events // 2:
+                    self.faults.reset_midway -= 1
+                    yield b"id: 99\nda"
+                    break_connection(environ)
+                    return
+                yield f"id: {number}\ndata: {name}\n\n".encode()
+            finished = True
+        finally:
+            self.cancelled += not finished
+            self.running[name] -= 1
--- a/src/filbertyard/programs/gateway.py
+++ b/src/filbertyard/programs/gateway.py
@@ -18,10 +18,8 @@
 from gevent.event import Event
 
 from ..exceptions import SettingsError
-from ..gateway.host import create_gateway_host
 from ..logs import configure_stdout_logs
-from ..platform import store as _store  # noqa: F401
-from ..platform.exchange import create_platform_wire
+from ..platform.factory import create_platform_host
 from ..platform.settings import DEFAULT_SETTINGS_PATH
 from ..platform.settings import SETTINGS_VARIABLE
 from ..platform.settings import load_node_file
@@ -54,7 +52,7 @@
         print(f"filbertyard-gateway: {error.message}", file=sys.stderr)
         return EXIT_SETTINGS
     configure_stdout_logs(log_level, settings.name)
-    host = create_gateway_host(settings, create_platform_wire())
+    host = create_platform_host(settings)
     host.start()
     stopping = Event()
     gevent.signal_handler(signal.SIGTERM, stopping.set)
--- a/src/filbertyard/standins/web.py
+++ b/src/filbertyard/standins/web.py
@@ -22,6 +22,7 @@
     400: "400 Bad Request",
     404: "404 Not Found",
     409: "409 Conflict",
+    412: "412 Precondition Failed",
     429: "429 Too Many Requests",
     500: "500 Internal Server Error",
     502: "502 Bad Gateway",
--- /dev/null
+++ b/tests/gatewayfleet.py
@@ -0,0 +1,246 @@
+"""A gateway fleet in one process, on stand-ins of the platform."""
+
+from __future__ import annotations
+
+import socket
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from dataclasses import field
+from typing import Any
+
+import gevent
+from geventhttpclient.response import HTTPSocketResponse
+
+from filbertyard.gateway.host import GatewayHost
+from filbertyard.gateway.settings import GatewayBounds
+from filbertyard.gateway.settings import GatewaySettings
+from filbertyard.platform.factory import create_platform_host
+from filbertyard.platform.settings import KEY_VALUE_FORM
+from filbertyard.platform.standins import ReplicaStandin
+from filbertyard.platform.standins import StoreStandin
+
+MODEL = "m0"
+
+BOUNDS = GatewayBounds(
+    drain_s=2.0,
+    grace_s=8.0,
+    order_gap_s=3.0,
+    version_s=5.0,
+    repeat_ratio=0.2,
+    repeat_window_s=10.0,
+    repeat_slack=50.0,
+    address_ttl_s=5.0,
+)
+
+
+def free_port() -> int:
+    """Return a port that nothing listens on."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return int(sock.getsockname()[1])
+
+
+def wait_until(check: Callable[[], Any], limit_s: float = 20.0) -> Any:
+    """Wait until `check` returns something true; fail after a generous limit."""
+    end = time.monotonic() + limit_s
+    while time.monotonic() < end:
+        found = check()
+        if found:
+            return found
+        gevent.sleep(0.01)
+    raise AssertionError(f"not reached within {limit_s} s")
+
+
+def route(name: str, prefix: str, kind: str, service: str, **more: Any) -> dict:
+    """Return a route of the operator's configuration."""
+    return {
+        "name": name,
+        "host": "fleet.example",
+        "prefix": prefix,
+        "kind": kind,
+        "timeoutMs": 10000,
+        "targetLatencyMs": 1000,
+        "priority": 1,
+        "service": service,
+        "maxAttempts": 1,
+        **more,
+    }
+
+
+def configuration(version: int = 1, **changes: Any) -> dict:
+    """Return a configuration with an engine and a plain service."""
+    routes = {
+        "text": route("text", "/text/", "streaming", "engine"),
+        "note": route(
+            "note", "/note/", "streaming", "engine", resumable=True, maxAttempts=2
+        ),
+        "order": route("order", "/order/", "non_idempotent", "desk"),
+        "stock": route("stock", "/stock/", "idempotent", "desk", maxAttempts=2),
+    }
+    routes.update(changes)
+    return {
+        "version": version,
+        "routes": [value for value in routes.values() if value],
+        "services": [
+            {
+                "name": "engine",
+                "maxConnections": 100,
+                "engine": {
+                    "slots": 8,
+                    "kvCapacityTokens": 100000,
+                    "adapterSlots": 4,
+                    "weightsMb": 1000,
+                    "stride": 3,
+                    "models": [{"name": MODEL, "weightsMb": 500, "loadS": 0.1}],
+                },
+            },
+            {"name": "desk", "maxConnections": 100},
+        ],
+        "limits": {
+            "maxHeaderBytes": 16384,
+            "maxBodyBytes": 1 << 20,
+            "headerTimeoutMs": 3000,
+            "idleTimeoutMs": 15000,
+        },
+    }
+
+
+@dataclass
+class Reply:
+    """What a caller received; `is_whole` tells if the answer ended properly."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    is_whole: bool
+
+
+@dataclass
+class GatewayFleet:
+    """Hosts, a store and replicas."""
+
+    store: StoreStandin = field(default_factory=StoreStandin)
+    replicas: list[ReplicaStandin] = field(default_factory=list)
+    hosts: list[GatewayHost] = field(default_factory=list)
+    count: int = 0
+
+    def add_replica(self, replica: ReplicaStandin) -> ReplicaStandin:
+        """Start a replica and list it."""
+        replica.start()
+        self.replicas.append(replica)
+        self.store.write(f"servers/{replica.id}", replica.entry())
+        return replica
+
+    def start_host(self) -> GatewayHost:
+        """Start a gateway host."""
+        callers, directory, peers = (f"127.0.0.1:{free_port()}" for _ in range(3))
+        settings = GatewaySettings(
+            name=f"host-{len(self.hosts)}",
+            availability_zone="a",
+            region="r",
+            callers=callers,
+            readiness=directory,
+            directory=directory,
+            peers=peers,
+            seeds=tuple(host.id for host in self.hosts[:1]),
+            key_value=self.store.address,
+            key_value_form=KEY_VALUE_FORM,
+            bounds=BOUNDS,
+            peer_key="a-key-for-tests",
+        )
+        host = create_platform_host(settings)
+        host.start()
+        self.hosts.append(host)
+        return host
+
+    def start(self, hosts: int = 1) -> None:
+        """Start the store with a configuration, and hosts."""
+        self.store.start()
+        self.store.write("op/config", configuration())
+        for _ in range(hosts):
+            self.start_host()
+
+    def await_owners(self) -> None:
+        """Wait until every engine has an owner that may give orders."""
+        engines = {replica.id for replica in self.replicas if replica.model}
+        wait_until(
+            lambda: all(
+                any(
+                    engine in host.owned and host.owned[engine].plan.models
+                    for host in self.hosts
+                )
+                for engine in engines
+            )
+        )
+        wait_until(
+            lambda: (
+                all(set(host.views) >= engines for host in self.hosts)
+                and all(
+                    view.load.load_wait_s >= 0
+                    for host in self.hosts
+                    for view in host.views.values()
+                )
+            )
+        )
+
+    def stop(self) -> None:
+        """Stop everything."""
+        for host in self.hosts:
+            host.stop()
+        for replica in self.replicas:
+            replica.stop()
+        self.store.stop()
+
+    def send(
+        self,
+        path: str,
+        *,
+        host: GatewayHost | None = None,
+        method: str = "POST",
+        body: bytes = b"{}",
+        limit_s: float = 20.0,
+        **headers: str,
+    ) -> Reply:
+        """Send one request as a caller and return what arrived."""
+        self.count += 1
+        host = host or self.hosts[0]
+        ip, _, port = host.settings.callers.rpartition(":")
+        fields = {
+            "Host": "fleet.example",
+            "Request-Id": f"r{self.count}",
+            "Deadline-Ms": "10000",
+            "Content-Length": str(len(body)),
+            **{key.replace("_", "-"): value for key, value in headers.items()},
+        }
+        lines = [f"{method} {path} HTTP/1.1"]
+        lines += [f"{key}: {value}" for key, value in fields.items()]
+        sock = gevent.socket.create_connection((ip, int(port)), 5.0)
+        try:
+            sock.settimeout(limit_s)
+            sock.sendall("\r\n".join([*lines, "", ""]).encode() + body)
+            return read_reply(sock)
+        finally:
+            sock.close()
+
+    def text(self, adapter: str, path: str = "/text/a", **options: Any) -> Reply:
+        """Send one request for an adapter."""
+        headers = {"Model": f"{MODEL}/{adapter}", "Token_Usage": "100,20"}
+        return self.send(path, **{**headers, **options})
+
+
+def read_reply(sock: Any) -> Reply:
+    """Read one answer until its end or until the connection breaks."""
+    response = HTTPSocketResponse(sock)
+    while not response.message_complete:
+        data = sock.recv(65536)
+        if not data:
+            break
+        response.feed(data)
+    headers = {str(key).lower(): str(value) for key, value in response.headers}
+    return Reply(
+        response.status_code,
+        headers,
+        bytes(response._body_buffer),
+        response.message_complete,
+    )
--- /dev/null
+++ b/tests/test_gateway_decisions.py
@@ -0,0 +1,403 @@
+"""The gateway's decisions, each against the load pattern that it answers."""
+
+import itertools
+import random
+
+import pytest
+
+from filbertyard.gateway.adapterplan import AdapterPlan
+from filbertyard.gateway.adapterplan import LoadStep
+from filbertyard.gateway.adapterplan import UnloadStep
+from filbertyard.gateway.admission import EngineQueue
+from filbertyard.gateway.admission import ReadCost
+from filbertyard.gateway.admission import Waiting
+from filbertyard.gateway.admission import read_ahead_s
+from filbertyard.gateway.health import HealthTable
+from filbertyard.gateway.placement import Candidate
+from filbertyard.gateway.placement import PlainCandidate
+from filbertyard.gateway.placement import choose
+from filbertyard.gateway.placement import choose_plain
+from filbertyard.gateway.repeats import RepeatBudget
+from filbertyard.gateway.types import AdapterName
+from filbertyard.gateway.types import EngineReport
+
+A = AdapterName("m0", "a")
+
+
+def ready(name: AdapterName) -> bool:
+    return True
+
+
+class Engine:
+    """An engine in steps: it reads prompts between the tokens of running requests.
+
+    Each step generates a token for every running request and reads up to `chunk`
+    prompt tokens, the most urgent first; an event carries `stride` tokens.
+    """
+
+    step_s, token_s, chunk, stride, lag_s = 0.0095, 1 / 19200, 2048, 3, 0.08
+
+    def __init__(self) -> None:
+        self.now = 0.0
+        self.reading: list[list] = []
+        self.running: dict[str, list] = {}
+        self.finished: list[str] = []
+        self.first: dict[str, float] = {}
+        self.pauses: dict[str, float] = {}
+
+    def add(self, item: Waiting) -> None:
+        self.reading.append([item.prompt_tokens, item])
+
+    def step(self) -> list[str]:
+        """Run one step and return the requests whose first event came."""
+        left, started = self.chunk, []
+        self.reading.sort(key=lambda entry: entry[1].rank)
+        read = 0
+        for entry in list(self.reading):
+            part = min(left, entry[0])
+            entry[0] -= part
+            left -= part
+            read += part
+            if entry[0] == 0:
+                self.reading.remove(entry)
+                started.append(entry[1])
+        self.now += self.step_s + read * self.token_s
+        for key, state in list(self.running.items()):
+            state[0] += 1
+            if state[0] % self.stride == 0:
+                pause = self.now - state[2]
+                self.pauses[key] = max(self.pauses.get(key, 0.0), pause)
+                state[2] = self.now
+            if state[0] >= state[1]:
+                del self.running[key]
+                self.finished.append(key)
+        for item in started:
+            self.running[item.id] = [0, item.output_tokens, self.now]
+            self.first[item.id] = self.now
+        return [item.id for item in started]
+
+
+def arrivals(rate: float, length_s: float, seed: int = 1) -> list[Waiting]:
+    """Return requests of two ranks and sizes, by a Poisson process."""
+    rng = random.Random(seed)
+    at, items = 0.0, []
+    for number in itertools.count():
+        at += rng.expovariate(rate)
+        if at > length_s:
+            return items
+        urgent = rng.random() < 0.35
+        prompt = int(min(4000, rng.lognormvariate(6.0 if urgent else 6.9, 0.6)))
+        items.append(
+            Waiting(
+                id=str(number),
+                adapter=A,
+                rank=0 if urgent else 1,
+                arrived=at,
+                objective_at=at + (0.8 if urgent else 1.0),
+                deadline=at + 8.0,
+                prompt_tokens=prompt,
+                output_tokens=70 if urgent else 170,
+            )
+        )
+    raise AssertionError
+
+
+def play(items: list[Waiting], queue: EngineQueue | None) -> tuple[Engine, set[str]]:
+    """Play requests against an engine, through a queue or straight into it."""
+    engine = Engine()
+    refused: set[str] = set()
+    coming = iter(items)
+    item = next(coming, None)
+    end = items[-1].arrived + 10.0
+    while engine.now < end:
+        while item is not None and item.arrived <= engine.now:
+            if queue is None:
+                engine.add(item)
+            elif queue.offer(item, engine.now, ready) is not None:
+                refused.add(item.id)
+            item = next(coming, None)
+        if queue is not None:
+            refused.update(late.id for late in queue.expire(engine.now))
+            while (taken := queue.take(engine.now, ready)) is not None:
+                engine.add(taken)
+        for request_id in engine.step():
+            if queue is not None:
+                queue.note_first_event(request_id, engine.now)
+        if queue is not None:
+            for request_id in engine.finished:
+                queue.finish(request_id, engine.now)
+            engine.finished.clear()
+    return engine, refused
+
+
+def on_time(engine: Engine, items: list[Waiting], gap_s: float = 0.3) -> int:
+    """Count the requests that met their objective without a long pause."""
+    return sum(
+        engine.first.get(item.id, 1e9) <= item.objective_at
+        and engine.pauses.get(item.id, 0.0) <= gap_s
+        for item in items
+    )
+
+
+def paced_queue() -> EngineQueue:
+    return EngineQueue(64, 122_748, read_ahead_s(0.3, 3))
+
+
+def test_paced_reading_keeps_the_pauses_of_streams_short() -> None:
+    """Load pattern: prompts arrive in clumps while streams run."""
+    items = arrivals(7.0, 30.0)
+    naive, _ = play(items, None)
+    paced, _ = play(items, paced_queue())
+    assert on_time(paced, items) > on_time(naive, items)
+    long_pauses = sum(pause > 0.3 for pause in paced.pauses.values())
+    assert long_pauses <= 0.05 * len(items)
+
+
+def test_goodput_stays_flat_up_to_three_times_the_load() -> None:
+    """Load pattern: the load rises far beyond what the engine can read."""
+    good = {}
+    for times in (1, 2, 3):
+        items = arrivals(8.0 * times, 30.0)
+        engine, _ = play(items, paced_queue())
+        good[times] = on_time(engine, items)
+        naive, _ = play(items, None)
+        if times > 1:
+            assert good[times] > 2 * on_time(naive, items)
+    # The design page asks for 95% of the best before.
+    assert good[2] >= 0.95 * good[1]
+    assert good[3] >= 0.95 * good[1]
+
+
+def test_urgent_work_goes_first_in_a_flood_and_the_rest_keeps_a_part() -> None:
+    items = arrivals(24.0, 30.0)
+    engine, _ = play(items, paced_queue())
+    share = {}
+    for rank in (0, 1):
+        mine = [item for item in items if item.rank == rank]
+        share[rank] = sum(item.id in engine.first for item in mine) / len(mine)
+    assert share[0] > share[1] > 0.05
+    urgent = [item for item in items if item.rank == 0]
+    assert on_time(engine, urgent) > 0.8 * len(urgent)
+
+
+def test_requests_that_cannot_be_served_are_refused_at_once() -> None:
+    items = arrivals(40.0, 20.0)
+    _, refused = play(items, paced_queue())
+    assert refused
+    queue = EngineQueue(1, 1000)
+    first = Waiting("1", A, 0, 0.0, 1.0, 10.0, 10, 10)
+    assert queue.offer(first, 0.0, ready) is None
+    queue.take(0.0, ready)
+    late = Waiting("2", A, 0, 0.0, 1.0, 0.1, 10, 10)
+    turned = queue.offer(late, 0.0, ready)
+    assert turned is not None
+    assert turned.retry_after_s > 0
+
+
+def test_nothing_is_refused_while_places_are_free() -> None:
+    queue = EngineQueue(8, 100_000)
+    for number in range(8):
+        item = Waiting(str(number), A, 5, 0.0, 1.0, 5.0, 10, 10)
+        assert queue.offer(item, 0.0, ready) is None
+
+
+def test_requests_that_wait_for_adapters_hold_nobody_up() -> None:
+    queue = EngineQueue(8, 100_000)
+    other = AdapterName("m0", "b")
+    queue.offer(Waiting("1", other, 0, 0.0, 1.0, 9.0, 5000, 10), 0.0, ready)
+    queue.offer(Waiting("2", A, 1, 0.0, 1.0, 9.0, 100, 10), 0.0, ready)
+    taken = queue.take(0.0, lambda name: name == A)
+    assert taken is not None
+    assert taken.id == "2"
+
+
+def test_memory_bounds_what_starts() -> None:
+    queue = EngineQueue(64, 1000)
+    for number in range(3):
+        queue.offer(Waiting(str(number), A, 0, 0.0, 1.0, 9.0, 300, 100), 0.0, ready)
+    assert queue.take(0.0, ready) is not None
+    assert queue.take(5.0, ready) is not None
+    assert queue.take(9.0, ready) is None
+
+
+def test_the_cost_of_reading_excludes_the_constant_part() -> None:
+    """Guards against a cost that holds requests back from an idle engine."""
+    cost = ReadCost()
+    rng = random.Random(2)
+    for _ in range(100):
+        tokens = rng.randrange(200, 4000)
+        cost.observe(tokens, 0.08 + tokens * 0.00005 + rng.uniform(0, 0.005))
+    assert cost.token_s == pytest.approx(0.00005, rel=0.15)
+
+
+def candidate(name: str, **changes: object) -> Candidate:
+    values = {
+        "replica": name,
+        "wait_s": 0.0,
+        "is_resident": False,
+        "load_left_s": -1.0,
+        "load_wait_s": 0.3,
+        "is_owner_known": True,
+        "failure_rate": 0.0,
+    }
+    return Candidate(**{**values, **changes})
+
+
+def test_hosts_agree_where_a_missing_adapter_goes() -> None:
+    """Load pattern: many hosts meet the same missing adapter at once."""
+    replicas = [candidate(f"r{number}") for number in range(9)]
+    for adapter in ("m0/a1", "m0/a2", "m0/a3"):
+        chosen = set()
+        for seed in range(20):
+            shuffled = replicas[:]
+            random.Random(seed).shuffle(shuffled)
+            chosen.add(choose(adapter, shuffled).replica)
+        assert len(chosen) == 1
+
+
+def test_missing_adapters_spread_over_the_replicas() -> None:
+    replicas = [candidate(f"r{number}") for number in range(9)]
+    chosen = [choose(f"m0/a{n}", replicas).replica for n in range(900)]
+    assert min(chosen.count(f"r{number}") for number in range(9)) > 50
+
+
+def test_a_busy_holder_is_left_only_when_a_copy_is_quicker() -> None:
+    holder = candidate("holder", is_resident=True, wait_s=0.25)
+    assert choose("a", [holder, candidate("idle")]).replica == "holder"
+    holder = candidate("holder", is_resident=True, wait_s=0.9)
+    assert choose("a", [holder, candidate("idle")]).replica == "idle"
+
+
+def test_failing_and_unloadable_replicas_are_passed_over() -> None:
+    failing = candidate("failing", is_resident=True, failure_rate=0.5)
+    assert choose("a", [failing, candidate("sound")]).replica == "sound"
+    full = candidate("full", load_wait_s=float("inf"))
+    assert choose("a", [full]) is None
+
+
+def test_plain_requests_go_to_the_least_loaded_sound_replica() -> None:
+    def plain(name: str, running: int, rate: float = 0.0) -> PlainCandidate:
+        return PlainCandidate(name, running, 6, rate, False)
+
+    assert choose_plain([plain("a", 3), plain("b", 0)], 0.5) == "b"
+    assert choose_plain([plain("a", 1), plain("b", 0, 0.9)], 0.5) == "a"
+    assert choose_plain([], 0.5) is None
+
+
+def test_a_replica_that_failed_is_tried_again() -> None:
+    health = HealthTable()
+    for _ in range(10):
+        health.note("r", True, 0.0)
+    assert health.failure_rate("r", 0.0) > 0.8
+    assert health.failure_rate("r", 30.0) < 0.01
+    health.note_unreachable("r", 30.0)
+    assert health.is_paused("r", 30.1)
+    assert not health.is_paused("r", 40.0)
+
+
+def test_repeats_of_all_hosts_stay_below_the_budget() -> None:
+    """Load pattern: every request fails, and every host wants to repeat it."""
+    hosts = [RepeatBudget(0.2, 50.0, 10.0) for _ in range(9)]
+    rng = random.Random(3)
+    requests, repeats = [], []
+    for tick in range(6000):
+        now = tick * 0.01
+        host = rng.choice(hosts)
+        host.note_request("s", now)
+        requests.append(now)
+        if host.take("s", len(hosts), now):
+            repeats.append(now)
+    for start in range(50):
+        allowed = 0.2 * sum(start <= at < start + 10 for at in requests) + 50
+        assert sum(start <= at < start + 10 for at in repeats) <= allowed
+
+
+def report(plan_sequence: int = 0, **adapters: int) -> EngineReport:
+    held = {AdapterName("m0", name): version for name, version in adapters.items()}
+    return EngineReport(plan_sequence, False, {"m0": 1}, held, {})
+
+
+def plan_of(slots: int, *names: str) -> AdapterPlan:
+    plan = AdapterPlan(slots, {})
+    plan.reconcile(report(**dict.fromkeys(names, 1)), 0.0)
+    return plan
+
+
+def test_an_adapter_in_use_is_never_given_up() -> None:
+    plan = plan_of(2, "a", "b")
+    plan.acquire(A)
+    step = plan.next_step([AdapterName("m0", "c")], 1.0)
+    assert step == UnloadStep(AdapterName("m0", "b"))
+    plan.acquire(AdapterName("m0", "b"))
+    assert plan.next_step([AdapterName("m0", "c")], 1.0) is None
+
+
+def test_loads_on_their_way_hold_places_and_are_bounded() -> None:
+    plan = plan_of(10)
+    names = [AdapterName("m0", str(number)) for number in range(8)]
+    while (step := plan.next_step(names, 0.0)) is not None:
+        assert isinstance(step, LoadStep)
+        plan.begin_load(step.name, 0.0)
+    assert len(plan.loading) == 4
+
+
+def test_an_outdated_version_is_replaced_when_its_runs_have_ended() -> None:
+    plan = plan_of(2, "a")
+    plan.acquire(A)
+    plan.releases[A] = 2
+    assert not plan.is_ready(A, 1.0)
+    assert plan.next_step([A], 1.0) is None
+    plan.release(A)
+    assert plan.next_step([A], 1.0) == UnloadStep(A)
+    plan.drop(A)
+    assert plan.next_step([A], 1.0) == LoadStep(A, 2)
+
+
+def test_requests_start_when_a_load_should_be_over_and_learn_from_refusals() -> None:
+    """Load pattern: a tail of adapters that are nowhere; reports lag by 0.1 s."""
+    plan = plan_of(4)
+    expected_s = plan.begin_load(A, 0.0)
+    assert not plan.is_ready(A, expected_s - 0.01)
+    assert plan.is_ready(A, expected_s)
+    assert plan.note_too_early(A)
+    assert not plan.is_ready(A, expected_s + 1.0)
+    plan.reconcile(report(1, a=1), expected_s + 0.1)
+    assert plan.is_ready(A, expected_s + 0.1)
+    assert plan.begin_load(AdapterName("m0", "b"), 2.0) > expected_s
+
+
+def test_a_report_without_a_load_under_way_does_not_free_its_place() -> None:
+    """Guards against orders beyond the places of a replica."""
+    plan = plan_of(1)
+    plan.begin_load(A, 0.0)
+    plan.reconcile(report(1), 0.1)
+    assert plan.next_step([AdapterName("m0", "b")], 0.1) is None
+
+
+def test_popular_adapters_stay_through_a_tail_of_rare_ones() -> None:
+    """Load pattern: Zipf popularity that shifts once; compared with eviction by age."""
+
+    def play_plan(keep_popular: bool) -> int:
+        rng = random.Random(5)
+        plan = plan_of(18)
+        weights = [1 / (rank + 1) ** 1.2 for rank in range(400)]
+        hits = 0
+        for number in range(6000):
+            now = number * 0.1
+            index = rng.choices(range(400), weights)[0]
+            shifted = (index + 200) % 400 if number > 3000 else index
+            name = AdapterName("m0", str(shifted))
+            if keep_popular:
+                plan.touch(name, now)
+            else:
+                plan.frequencies.clear()
+            hits += name in plan.resident
+            while name not in plan.resident:
+                step = plan.next_step([name], now)
+                if isinstance(step, UnloadStep):
+                    plan.drop(step.name)
+                else:
+                    plan.resident[name] = 1
+        return hits
+
+    assert play_plan(True) > 1.05 * play_plan(False)
--- /dev/null
+++ b/tests/test_gateway_owner.py
@@ -0,0 +1,122 @@
+"""The owner's side of an engine: grants, leaving replicas, lost questions."""
+
+import gevent
+import pytest
+
+from filbertyard.gateway.links import Ask
+from filbertyard.gateway.links import Granted
+from filbertyard.gateway.links import RequestTurnedAway
+from filbertyard.gateway.owner import ReplicaOwner
+from filbertyard.gateway.types import AdapterName
+from filbertyard.gateway.types import EngineLimits
+from filbertyard.gateway.types import ModelLimits
+from filbertyard.gateway.types import Replica
+from filbertyard.metrics import Metrics
+from filbertyard.platform.exchange import create_platform_wire
+
+NAME = AdapterName("m0", "a1")
+
+
+def replica(**changes: object) -> Replica:
+    values = {
+        "id": "r1",
+        "service": "engine",
+        "address": "127.0.0.1:1",
+        "zone": "a",
+        "slots": 2,
+        "is_leaving": False,
+        "born_ms": 1,
+        "revision": 1,
+    }
+    return Replica(**{**values, **changes})
+
+
+@pytest.fixture
+def owner() -> ReplicaOwner:
+    limits = EngineLimits(2, 10000, 4, 1000.0, {"m0": ModelLimits(500.0, 0.1, 1.0)})
+    owner = ReplicaOwner(
+        replica=replica(),
+        limits=limits,
+        read_s=1.0,
+        wire=create_platform_wire(),
+        host="h1",
+        fence=1,
+        releases={},
+        may_order=lambda: True,
+        publish=lambda load: None,
+        metrics=Metrics(),
+    )
+    owner.plan.models.add("m0")
+    owner.plan.resident[NAME] = 1
+    return owner
+
+
+def ask(request_id: str, adapter: str = "a1", **changes: object) -> Ask:
+    values = {
+        "request_id": request_id,
+        "replica": "r1",
+        "model": "m0",
+        "adapter": adapter,
+        "rank": 1,
+        "objective_s": 1.0,
+        "deadline_s": 5.0,
+        "prompt_tokens": 100,
+        "output_tokens": 10,
+    }
+    return Ask(**{**values, **changes})
+
+
+def test_requests_wait_for_a_slot_and_get_it_when_one_ends(owner: ReplicaOwner) -> None:
+    assert isinstance(owner.ask(ask("1"), "h2"), Granted)
+    assert isinstance(owner.ask(ask("2"), "h2"), Granted)
+    third = gevent.spawn(owner.ask, ask("3"), "h2")
+    gevent.sleep(0.01)
+    assert not third.ready()
+    owner.finish("1", "done")
+    assert isinstance(third.get(timeout=5), Granted)
+
+
+def test_what_waits_for_a_leaving_replica_is_turned_away_at_once(
+    owner: ReplicaOwner,
+) -> None:
+    """Guards against requests that are sent after the replica began to drain."""
+    waiting = gevent.spawn(owner.ask, ask("1", "a9"), "h2")
+    gevent.sleep(0.01)
+    owner.update(replica(is_leaving=True))
+    answer = waiting.get(timeout=5)
+    assert isinstance(answer, RequestTurnedAway)
+    assert answer.cause == "replica_leaving"
+    later = owner.ask(ask("2"), "h2")
+    assert isinstance(later, RequestTurnedAway)
+
+
+def test_a_question_asked_again_takes_one_slot_only(owner: ReplicaOwner) -> None:
+    """Guards against slots lost with the stream that carried the first answer."""
+    assert isinstance(owner.ask(ask("1"), "h2"), Granted)
+    assert isinstance(owner.ask(ask("1"), "h2"), Granted)
+    assert len(owner.queue.started) == 1
+    assert owner.plan.in_use[NAME] == 1
+
+
+def test_a_host_that_is_gone_frees_its_slots(owner: ReplicaOwner) -> None:
+    owner.ask(ask("1"), "h2")
+    owner.ask(ask("2"), "h3")
+    owner.release_host("h2")
+    assert list(owner.queue.started) == ["2"]
+
+
+def test_a_withdrawn_question_leaves_the_queue(owner: ReplicaOwner) -> None:
+    """Guards against requests that run after their callers have left."""
+    waiting = gevent.spawn(owner.ask, ask("1", "a9"), "h2")
+    gevent.sleep(0.01)
+    owner.finish("1", "withdrawn")
+    assert isinstance(waiting.get(timeout=5), RequestTurnedAway)
+    assert not owner.queue.waiting
+
+
+def test_an_adapter_that_cannot_be_there_in_time_is_refused_at_once(
+    owner: ReplicaOwner,
+) -> None:
+    answer = owner.ask(ask("1", "a9", deadline_s=0.2), "h2")
+    assert isinstance(answer, RequestTurnedAway)
+    assert answer.cause == "no_place_in_time"
--- /dev/null
+++ b/tests/test_gateway_path.py
@@ -0,0 +1,355 @@
+"""Requests through whole gateway hosts, against stand-ins of the platform."""
+
+from collections.abc import Iterator
+
+import gevent
+import pytest
+
+from filbertyard.platform.standins import ReplicaStandin
+from gatewayfleet import GatewayFleet
+from gatewayfleet import configuration
+from gatewayfleet import route
+from gatewayfleet import wait_until
+
+
+@pytest.fixture
+def fleet() -> Iterator[GatewayFleet]:
+    fleet = GatewayFleet()
+    fleet.start(hosts=2)
+    fleet.add_replica(ReplicaStandin("e1", "engine", model="m0"))
+    fleet.add_replica(ReplicaStandin("e2", "engine", model="m0"))
+    fleet.add_replica(ReplicaStandin("d1", "desk"))
+    fleet.add_replica(ReplicaStandin("d2", "desk"))
+    wait_until(
+        lambda: all(
+            host.state.configuration and len(host.state.replicas) == 4
+            for host in fleet.hosts
+        )
+    )
+    yield fleet
+    fleet.stop()
+
+
+@pytest.fixture
+def serving(fleet: GatewayFleet) -> GatewayFleet:
+    fleet.await_owners()
+    return fleet
+
+
+def runs(fleet: GatewayFleet, request_id: str) -> int:
+    return sum(
+        run["id"] == request_id for replica in fleet.replicas for run in replica.runs
+    )
+
+
+def test_a_missing_adapter_is_loaded_and_the_stream_is_whole(
+    serving: GatewayFleet,
+) -> None:
+    reply = serving.text("a1")
+    assert reply.status == 200
+    assert reply.is_whole
+    assert reply.body.count(b"data: a1") == 4
+    assert "response-signature" in reply.headers
+    assert all(not replica.overfilled for replica in serving.replicas)
+
+
+def test_the_replica_sees_the_request_unchanged_and_only_our_own_marks(
+    serving: GatewayFleet,
+) -> None:
+    reply = serving.text(
+        "a1", path="/text/%2Fx?q=%20", body=b"body", Hold="h", Pin_Ms="9"
+    )
+    assert reply.status == 200
+    run = next(run for replica in serving.replicas for run in replica.runs)
+    assert run["path"] == "/text/%2Fx?q=%20"
+    assert run["body"] == b"body"
+    assert run["headers"]["HTTP_HOST"] == "fleet.example"
+    assert int(run["headers"]["HTTP_DEADLINE_MS"]) <= 10000
+    assert "HTTP_HOLD" not in run["headers"]
+    assert "HTTP_PIN_MS" not in run["headers"]
+
+
+def test_many_adapters_never_overfill_a_replica_or_evict_one_in_use(
+    serving: GatewayFleet,
+) -> None:
+    """Guards against loads ordered before a place is free."""
+    asks = [
+        gevent.spawn(serving.text, f"a{number % 12}", host=serving.hosts[number % 2])
+        for number in range(60)
+    ]
+    replies = [ask.get(timeout=60) for ask in asks]
+    assert {reply.status for reply in replies} == {200}
+    for replica in serving.replicas:
+        assert not replica.overfilled
+        assert not replica.evicted_in_use
+        orders = [order["expected"] for order in replica.orders]
+        assert orders == sorted(orders)
+        assert len({order["holder"] for order in replica.orders}) <= 1
+
+
+def test_lost_orders_are_repeated_under_the_same_sequence(
+    serving: GatewayFleet,
+) -> None:
+    """Guards against a load that is ordered late and again, beside another one."""
+    for replica in serving.replicas:
+        replica.faults.lose_orders = 1
+    assert serving.text("a1").status == 200
+    for replica in serving.replicas:
+        for order in replica.faults.late_orders:
+            assert replica.apply_order(order) == 409
+
+
+def test_an_order_in_two_sends_keeps_the_places(serving: GatewayFleet) -> None:
+    for number in range(10):
+        for replica in serving.replicas:
+            replica.faults.lose_orders = number % 2
+        assert serving.text(f"a{number}").status == 200
+    assert all(not replica.overfilled for replica in serving.replicas)
+
+
+def test_a_new_version_is_loaded_and_requests_begin_on_it(
+    serving: GatewayFleet,
+) -> None:
+    assert serving.text("a1").status == 200
+    serving.store.write(
+        "op/version/m0.a1", {"model": "m0", "adapter": "a1", "version": 2}
+    )
+    wait_until(lambda: all(host.state.releases for host in serving.hosts))
+    assert serving.text("a1").status == 200
+    newest = max(
+        (run for replica in serving.replicas for run in replica.runs),
+        key=lambda run: run["at"],
+    )
+    assert newest["version"] == 2
+
+
+def test_unsafe_requests_run_once_or_are_refused_truthfully(
+    fleet: GatewayFleet,
+) -> None:
+    """Guards against a second run after a reset, and a refusal of what ran."""
+    desks = [replica for replica in fleet.replicas if replica.service == "desk"]
+    for replica in desks:
+        replica.faults.reset = 1
+    statuses = []
+    for _ in range(6):
+        reply = fleet.send("/order/x")
+        statuses.append(reply.status)
+        assert runs(fleet, f"r{fleet.count}") <= 1
+        if reply.status == 503:
+            assert runs(fleet, f"r{fleet.count}") == 0
+    assert 502 in statuses
+    assert 200 in statuses
+
+
+def test_refused_unsafe_requests_go_to_another_replica(fleet: GatewayFleet) -> None:
+    desks = [replica for replica in fleet.replicas if replica.service == "desk"]
+    desks[0].faults.refuse = 1
+    desks[1].faults.refuse = 1
+    reply = fleet.send("/order/x")
+    assert reply.status in (200, 503)
+    assert runs(fleet, f"r{fleet.count}") == (reply.status == 200)
+
+
+def test_idempotent_requests_are_repeated_elsewhere_after_a_failure(
+    fleet: GatewayFleet,
+) -> None:
+    for replica in fleet.replicas:
+        replica.faults.fail = 1
+    first = fleet.send("/stock/x", method="GET", body=b"")
+    assert runs(fleet, f"r{fleet.count}") == 2
+    assert first.status == 500
+    assert fleet.send("/stock/x", method="GET", body=b"").status == 200
+
+
+def test_a_foreign_or_unsigned_answer_is_never_delivered(fleet: GatewayFleet) -> None:
+    for replica in fleet.replicas:
+        replica.faults.foreign = 1
+        replica.faults.unsigned = 0
+    reply = fleet.send("/order/x")
+    assert reply.status == 502
+    for replica in fleet.replicas:
+        replica.faults.foreign = 0
+        replica.faults.unsigned = 1
+    assert fleet.send("/order/x").status == 502
+
+
+def test_bytes_after_an_answer_reach_nobody(fleet: GatewayFleet) -> None:
+    """Guards against a second answer read as part of this one or of the next."""
+    for replica in fleet.replicas:
+        replica.faults.extra = 2
+    for _ in range(8):
+        reply = fleet.send("/order/x")
+        assert reply.status == 200
+        assert b"extra" not in reply.body
+        assert reply.is_whole
+
+
+def test_a_broken_stream_never_looks_complete(serving: GatewayFleet) -> None:
+    serving.text("a1")
+    for replica in serving.replicas:
+        replica.faults.reset_midway = 1
+    reply = serving.text("a1")
+    assert reply.status == 200
+    assert not reply.is_whole
+
+
+def test_a_resumable_stream_goes_on_elsewhere_whole_and_once(
+    serving: GatewayFleet,
+) -> None:
+    serving.text("a1", path="/note/a")
+    for replica in serving.replicas:
+        replica.faults.reset_midway = 0
+    holder = next(r for r in serving.replicas if "a1" in r.adapters)
+    holder.faults.reset_midway = 1
+    reply = serving.text("a1", path="/note/a")
+    assert reply.is_whole
+    ids = [line for line in reply.body.splitlines() if line.startswith(b"id:")]
+    assert ids == [b"id: 1", b"id: 2", b"id: 3", b"id: 4"]
+
+
+def test_a_caller_that_leaves_ends_the_work(serving: GatewayFleet) -> None:
+    """Guards against runs for nobody, and requests sent on after their caller left."""
+    serving.text("a1")
+    for replica in serving.replicas:
+        replica.events, replica.event_s = 10_000, 0.005
+    caller = gevent.spawn(serving.text, "a1")
+    wait_until(lambda: any(sum(r.running.values()) for r in serving.replicas))
+    caller.kill()
+    wait_until(lambda: not any(sum(r.running.values()) for r in serving.replicas))
+    wait_until(
+        lambda: (
+            not any(
+                owner.queue.started
+                for host in serving.hosts
+                for owner in host.owned.values()
+            )
+        )
+    )
+
+
+def test_a_caller_that_leaves_while_its_request_waits_sends_nothing(
+    serving: GatewayFleet,
+) -> None:
+    """Regression: the cancellation was taken for a failed stream between hosts."""
+    for replica in serving.replicas:
+        replica.load_s = 2.0
+    callers = [gevent.spawn(serving.text, "a7", host=host) for host in serving.hosts]
+    waiting = lambda: sum(  # noqa: E731
+        len(owner.queue.waiting)
+        for host in serving.hosts
+        for owner in host.owned.values()
+    )
+    wait_until(lambda: waiting() == 2)
+    gevent.killall(callers)
+    wait_until(lambda: waiting() == 0)
+    gevent.sleep(0.1)
+    assert not any(replica.runs for replica in serving.replicas)
+
+
+def test_configuration_changes_take_hold_and_routes_go(fleet: GatewayFleet) -> None:
+    assert fleet.send("/order/x").status == 200
+    fleet.store.write(
+        "op/config",
+        configuration(2, order=None, extra=route("x", "/extra/", "idempotent", "desk")),
+    )
+    wait_until(
+        lambda: all(host.state.configuration.version == 2 for host in fleet.hosts)
+    )
+    assert fleet.send("/order/x").status == 404
+    assert fleet.send("/extra/x", method="GET", body=b"").status == 200
+
+
+def test_a_host_without_a_configuration_says_so() -> None:
+    fleet = GatewayFleet()
+    fleet.store.start()
+    fleet.start_host()
+    try:
+        reply = fleet.send("/order/x")
+        assert reply.status == 503
+    finally:
+        fleet.stop()
+
+
+def test_a_started_host_learns_from_peers_while_the_store_is_away(
+    fleet: GatewayFleet,
+) -> None:
+    fleet.store.faults.away = True
+    late = fleet.start_host()
+    wait_until(lambda: late.state.configuration is not None)
+    wait_until(lambda: len(late.state.replicas) == 4)
+    assert fleet.send("/order/x", host=late).status == 200
+
+
+def test_history_that_the_store_forgot_is_read_anew(fleet: GatewayFleet) -> None:
+    fleet.store.compact()
+    fleet.store.write("op/config", configuration(5))
+    fleet.store.compact()
+    wait_until(
+        lambda: all(host.state.configuration.version == 5 for host in fleet.hosts)
+    )
+
+
+def test_a_leaving_replica_gets_nothing_new(fleet: GatewayFleet) -> None:
+    leaving, other = (r for r in fleet.replicas if r.service == "desk")
+    fleet.store.write(f"servers/{leaving.id}", leaving.entry("draining"))
+    wait_until(
+        lambda: all(host.state.replicas[leaving.id].is_leaving for host in fleet.hosts)
+    )
+    before = len(leaving.runs)
+    for _ in range(10):
+        assert fleet.send("/order/x").status == 200
+    assert len(leaving.runs) == before
+
+
+def test_an_entry_that_cannot_be_read_names_no_replica(fleet: GatewayFleet) -> None:
+    fleet.store.write("servers/odd", b"\xff\x00 not json")
+    fleet.store.write("servers/other", {"service": 5, "address": "nowhere"})
+    fleet.store.write("servers/strange", {"state": "asleep", "service": "desk"})
+    wait_until(
+        lambda: all("servers/strange" in h.state.entries.items for h in fleet.hosts)
+    )
+    assert all(len(host.state.replicas) == 4 for host in fleet.hosts)
+
+
+def test_owners_are_shared_and_orders_come_from_one_host(
+    serving: GatewayFleet,
+) -> None:
+    owners = {record.host for record in serving.hosts[0].state.owners.values()}
+    assert owners == {host.id for host in serving.hosts}
+
+
+def test_a_restarted_replica_is_filled_again(serving: GatewayFleet) -> None:
+    assert serving.text("a1").status == 200
+    for replica in serving.replicas:
+        if replica.model:
+            replica.restart()
+            serving.store.write(f"servers/{replica.id}", replica.entry())
+    assert serving.text("a1").status == 200
+
+
+def test_a_graceful_stop_hands_over_and_cuts_nothing(serving: GatewayFleet) -> None:
+    stopping, other = serving.hosts
+    for replica in serving.replicas:
+        replica.event_s = 0.05
+    stream = gevent.spawn(serving.text, "a1", host=stopping)
+    wait_until(lambda: any(sum(r.running.values()) for r in serving.replicas))
+    leaving = gevent.spawn(stopping.shutdown)
+    reply = stream.get(timeout=20)
+    assert reply.is_whole
+    assert stopping.settings.callers not in wait_until(
+        lambda: (
+            (
+                addresses := other.caller_addresses("a"),
+                stopping.settings.callers not in addresses,
+            )[1]
+            and addresses
+        )
+    )
+    leaving.get(timeout=20)
+
+
+def test_addresses_name_live_hosts(fleet: GatewayFleet) -> None:
+    expected = {host.settings.callers for host in fleet.hosts}
+    wait_until(
+        lambda: all(set(h.caller_addresses("a")) == expected for h in fleet.hosts)
+    )
--- /dev/null
+++ b/tests/test_gateway_tenure.py
@@ -0,0 +1,184 @@
+"""Two hosts never give orders to one replica within the order gap."""
+
+import hypothesis.strategies as st
+from hypothesis import settings
+from hypothesis.stateful import RuleBasedStateMachine
+from hypothesis.stateful import initialize
+from hypothesis.stateful import invariant
+from hypothesis.stateful import rule
+
+from filbertyard.gateway.tenure import MISSING_S
+from filbertyard.gateway.tenure import Tenure
+from filbertyard.gateway.tenure import decide_claims
+from filbertyard.gateway.types import HostRecord
+from filbertyard.gateway.types import OwnerRecord
+
+GAP_S = 3.0
+HOSTS = ("h1", "h2", "h3")
+REPLICA = "r1"
+
+
+class Node:
+    """One host: its tenure, and whether it is frozen or cut off from the store."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.instance = 1
+        self.tenure = Tenure(GAP_S)
+        self.is_cut = False
+        self.is_frozen = False
+        self.seen: dict[str, OwnerRecord] = {}
+        self.missing: dict[str, float] = {}
+
+    def record(self) -> HostRecord:
+        return HostRecord(self.name, str(self.instance), "c", "z", False)
+
+
+class Succession(RuleBasedStateMachine):
+    """Hosts freeze, are cut off, restart and lose their records at any time."""
+
+    @initialize()
+    def begin(self) -> None:
+        self.now = 100.0
+        self.nodes = {name: Node(name) for name in HOSTS}
+        self.hosts = {name: node.record() for name, node in self.nodes.items()}
+        self.owners: dict[str, OwnerRecord] = {}
+        self.removed_at: dict[str, float] = {}
+        self.revision = 1
+        self.orders: list[tuple[float, str, int]] = []
+
+    @rule(seconds=st.sampled_from([0.5, 1.0, 3.5, 9.0]))
+    def wait(self, seconds: float) -> None:
+        """Let time pass; every host that can renews, claims and gives an order."""
+        while seconds > 0:
+            self.now += 0.5
+            seconds -= 0.5
+            for name in HOSTS:
+                self.renew(name)
+                self.claim(name)
+                self.order(name)
+
+    @rule(name=st.sampled_from(HOSTS), cut=st.booleans())
+    def cut(self, name: str, cut: bool) -> None:
+        self.nodes[name].is_cut = cut
+
+    @rule(name=st.sampled_from(HOSTS), frozen=st.booleans())
+    def freeze(self, name: str, frozen: bool) -> None:
+        self.nodes[name].is_frozen = frozen
+
+    @rule(name=st.sampled_from(HOSTS))
+    def cut_off_and_lose_record(self, name: str) -> None:
+        self.cut(name, True)
+        self.lose_record(name)
+
+    @rule(name=st.sampled_from(HOSTS))
+    def lose_record(self, name: str) -> None:
+        """Drop a host's record early, without a sign to the host."""
+        if self.hosts.pop(name, None) is not None:
+            self.removed_at[name] = self.now
+
+    @rule(name=st.sampled_from(HOSTS))
+    def restart(self, name: str) -> None:
+        node = self.nodes[name]
+        if node.is_frozen:
+            return
+        node.instance += 1
+        node.tenure = Tenure(GAP_S)
+
+    def renew(self, name: str) -> None:
+        """Write the record, read the owners again, and let the tenure go on."""
+        node = self.nodes[name]
+        if node.is_cut or node.is_frozen:
+            return
+        self.hosts[name] = node.record()
+        self.removed_at.pop(name, None)
+        node.seen = dict(self.owners)
+        node.tenure.keep(node.seen, name, str(node.instance))
+        node.tenure.renew(self.now)
+
+    def claim(self, name: str) -> None:
+        node = self.nodes[name]
+        if node.is_cut or node.is_frozen or name not in self.hosts:
+            return
+        decisions = decide_claims(
+            host=node.record(),
+            replicas=[REPLICA],
+            owners=self.owners,
+            hosts=self.hosts,
+            missing_since=self.removed_at,
+            unowned_since={REPLICA: 0.0},
+            reachable=set(),
+            tenure=node.tenure,
+            now=self.now,
+        )
+        for decision in decisions:
+            self.revision += 1
+            self.write_owner(node, decision.wait_s)
+        for _ in node.tenure.settled(self.now):
+            self.revision += 1
+            self.write_owner(node, 0.0)
+
+    def write_owner(self, node: Node, wait_s: float) -> None:
+        record = OwnerRecord(
+            REPLICA, node.name, str(node.instance), self.revision, wait_s=wait_s
+        )
+        self.owners[REPLICA] = record
+        node.tenure.add(REPLICA, self.revision, self.now, wait_s)
+
+    @rule(name=st.sampled_from(HOSTS))
+    def release(self, name: str) -> None:
+        """Give the claim of a leaving host up."""
+        node = self.nodes[name]
+        record = self.owners.get(REPLICA)
+        if node.is_cut or node.is_frozen or REPLICA not in node.tenure.claims:
+            return
+        node.tenure.claims.clear()
+        if record is not None and record.host == name:
+            self.revision += 1
+            self.owners[REPLICA] = OwnerRecord(
+                REPLICA, name, str(node.instance), self.revision, True
+            )
+
+    def order(self, name: str) -> None:
+        node = self.nodes[name]
+        if node.is_frozen or not node.tenure.may_order(REPLICA, self.now):
+            return
+        fence = node.tenure.claims[REPLICA].fence
+        self.orders.append((self.now, name, fence))
+
+    @invariant()
+    def orders_of_two_hosts_are_apart(self) -> None:
+        orders = getattr(self, "orders", [])
+        for before, after in zip(orders, orders[1:], strict=False):
+            if before[1] != after[1]:
+                assert after[0] - before[0] >= GAP_S
+            assert after[2] >= before[2]
+
+
+TestSuccession = Succession.TestCase
+TestSuccession.settings = settings(max_examples=200, stateful_step_count=20)
+
+
+def test_a_lost_owner_is_replaced_after_its_record_was_missing() -> None:
+    node = Node("h1")
+    hosts = {"h1": node.record()}
+    owners = {REPLICA: OwnerRecord(REPLICA, "h2", "1", 7)}
+
+    def decide(now: float, reachable: set[str]) -> list:
+        return decide_claims(
+            host=node.record(),
+            replicas=[REPLICA],
+            owners=owners,
+            hosts=hosts,
+            missing_since={"h2": 0.0},
+            unowned_since={REPLICA: -100.0},
+            reachable=reachable,
+            tenure=node.tenure,
+            now=now,
+        )
+
+    assert not decide(MISSING_S - 0.1, set())
+    assert not decide(MISSING_S + 0.1, {"h2"})
+    (decision,) = decide(MISSING_S + 0.1, set())
+    assert decision.cause == "lost"
+    assert decision.wait_s > GAP_S
