--- a/src/filbertyard/gateway/host.py
+++ b/src/filbertyard/gateway/host.py
@@ -30,6 +30,7 @@
 from .entry import EntryApplication
 from .links import Ask
 from .links import Digest
+from .links import FeedPush
 from .links import Finished
 from .links import FirstEvent
 from .links import Granted
@@ -37,6 +38,7 @@
 from .links import RequestTurnedAway
 from .owner import ReplicaOwner
 from .placement import Candidate
+from .relays import follows_store
 from .repeats import RepeatBudget
 from .settings import GatewaySettings
 from .state import GatewayState
@@ -56,6 +58,12 @@
 # Pause between the digests that a host sends to the others.
 DIGEST_PAUSE_S = 0.5
 
+# Pause between two publications of a replica's load.
+PUBLISH_PAUSE_S = 0.1
+
+# Messages of one kind that a host sends to all others, a second.
+MESSAGES_PER_S = 200
+
 # A host that sent nothing for this long is left out of the answers where to connect.
 SILENT_S = 1.6
 
@@ -131,10 +139,21 @@
             settings.availability_zone,
         )
         self.directory = DirectoryApplication(self, wire)
+        pauses = {
+            self.state.operator.prefix: OPERATOR_PAUSE_S,
+            self.state.entries.prefix: ENTRY_PAUSE_S,
+            self.state.own.prefix: OWN_PAUSE_S,
+        }
         self.watchers = [
-            FeedWatcher(self.state, self.state.operator, self.store, OPERATOR_PAUSE_S),
-            FeedWatcher(self.state, self.state.entries, self.store, ENTRY_PAUSE_S),
-            FeedWatcher(self.state, self.state.own, self.store, OWN_PAUSE_S),
+            FeedWatcher(
+                self.state,
+                feed,
+                self.store,
+                pauses[feed.prefix],
+                self.follows_store,
+                self.push_feed,
+            )
+            for feed in self.state.feed_list()
         ]
         self.owned: dict[str, ReplicaOwner] = {}
         self.views: dict[str, View] = {}
@@ -202,6 +221,30 @@
         now = time.monotonic()
         return {key for key, peer in self.known.items() if now - peer.at < SILENT_S}
 
+    def zone_peers(self) -> dict[str, bool]:
+        """Return the live hosts of this zone and whether the store answers them."""
+        reachable = self.reachable()
+        return {
+            key: peer.digest.is_connected
+            for key, peer in self.known.items()
+            if key in reachable
+            and peer.digest.zone == self.settings.availability_zone
+            and not peer.digest.is_leaving
+        }
+
+    def follows_store(self) -> bool:
+        """Tell if this host follows the store itself."""
+        return self.is_leaving or follows_store(self.id, self.zone_peers())
+
+    def push_feed(self, push: FeedPush) -> None:
+        """Pass changes of a feed on to the other hosts of the zone."""
+        for peer in self.zone_peers():
+            gevent.spawn(self.tell, peer, push)
+
+    def fleet_pause_s(self, least_s: float) -> float:
+        """Return a pause between messages to all hosts that bounds their rate."""
+        return max(least_s, len(self.known) / MESSAGES_PER_S)
+
     def run_digests(self) -> None:
         """Tell the other hosts that this one lives, for ever."""
         while True:
@@ -209,7 +252,8 @@
                 gevent.spawn(self.tell, peer, self.digest())
             self.forget_peers()
             self.state.expire_lapsed(time.monotonic())
-            gevent.sleep(DIGEST_PAUSE_S * random.uniform(0.9, 1.1))
+            pause_s = self.fleet_pause_s(DIGEST_PAUSE_S)
+            gevent.sleep(pause_s * random.uniform(0.9, 1.1))
 
     def forget_peers(self) -> None:
         """Drop hosts that neither the store nor their digests name any more."""
@@ -231,6 +275,7 @@
             self.settings.callers,
             self.settings.availability_zone,
             self.is_leaving,
+            all(watcher.is_connected for watcher in self.watchers),
             {prefix: feed.revision for prefix, feed in self.state.feeds.items()},
         )
 
@@ -310,6 +355,7 @@
             releases=self.state.releases,
             may_order=self.order_check(replica_id),
             publish=self.publish,
+            publish_pause=lambda: self.fleet_pause_s(PUBLISH_PAUSE_S),
             metrics=self.metrics,
         )
         self.owned[replica_id] = owner
@@ -331,7 +377,11 @@
         self.views[load.replica] = View(
             load,
             time.monotonic(),
-            {AdapterName(model, adapter) for model, adapter in load.resident},
+            {
+                AdapterName(model, adapter)
+                for model, adapters in load.resident.items()
+                for adapter in adapters
+            },
             {AdapterName(model, name): left for model, name, left in load.loading},
         )
 
@@ -350,6 +400,8 @@
                 is_resident = name in replica.adapters or (
                     not name.adapter and name.model in replica.models
                 )
+                if view is not None:
+                    is_resident = name in view.resident
                 found.append(
                     Candidate(
                         replica.id, 0.0, is_resident, -1.0, math.inf, False, own_rate
--- a/src/filbertyard/gateway/links.py
+++ b/src/filbertyard/gateway/links.py
@@ -13,13 +13,17 @@
 @message("digest")
 @dataclass(slots=True)
 class Digest(Message):
-    """Tell that a host lives and which revision of each feed it knows."""
+    """Tell that a host lives and which revision of each feed it knows.
+
+    `is_connected` tells that it follows the store and the store answers.
+    """
 
     host: str
     instance: str
     callers: str
     zone: str
     is_leaving: bool
+    is_connected: bool
     revisions: dict[str, int]
 
 
@@ -35,10 +39,25 @@
 @message("feed_part")
 @dataclass(slots=True)
 class FeedPart(Message):
-    """Carry items as [key, value, revision] and removals as [key, revision]."""
+    """Carry items as [key, value, revision] and removals as [key, revision].
+
+    `disturbed_s` is how long ago the store last failed to answer the sender.
+    """
 
     items: list[list[Any]]
     removed: list[list[Any]]
+    disturbed_s: float
+
+
+@message("feed_push")
+@dataclass(slots=True)
+class FeedPush(Message):
+    """Pass changes of a feed on to the hosts of a zone; fields as in `FeedPart`."""
+
+    prefix: str
+    items: list[list[Any]]
+    removed: list[list[Any]]
+    disturbed_s: float
 
 
 @message("ask")
@@ -111,7 +130,7 @@
 @message("replica_load")
 @dataclass(slots=True)
 class ReplicaLoad(Message):
-    """Publish the load of an owned replica; adapters as [model, adapter].
+    """Publish the load of an owned replica; `resident` maps models to adapters.
 
     `load_wait_s` is the time until a missing adapter could be there, negative if the
     owner gives no orders now. `loading` adds the rest of each load in seconds.
@@ -124,5 +143,5 @@
     running: int
     load_wait_s: float
     failure_rate: float
-    resident: list[list[str]]
+    resident: dict[str, list[str]]
     loading: list[list[Any]] = field(default_factory=list)
--- a/src/filbertyard/gateway/owner.py
+++ b/src/filbertyard/gateway/owner.py
@@ -62,8 +62,7 @@
 # A report is taken to show all that happened this long before it.
 REPORT_LAG_S = 0.25
 
-# Load of the replica is published at most and at least this often.
-PUBLISH_PAUSE_S = 0.1
+# Load of the replica is published at least this often.
 PUBLISH_AGE_S = 1.0
 
 # Longest pause between two looks at the waiting requests.
@@ -100,6 +99,7 @@
         releases: dict[AdapterName, int],
         may_order: Callable[[], bool],
         publish: Callable[[ReplicaLoad], None],
+        publish_pause: Callable[[], float],
         metrics: Metrics,
     ) -> None:
         self.replica = replica
@@ -109,6 +109,7 @@
         self.fence = fence
         self.may_order = may_order
         self.publish = publish
+        self.publish_pause = publish_pause
         self.metrics = metrics
         self.queue = EngineQueue(limits.slots, limits.kv_tokens, read_s)
         self.plan = AdapterPlan(limits.adapter_slots, releases)
@@ -329,7 +330,7 @@
     def run_grants(self) -> None:
         """Expire what waits too long and publish the load."""
         while True:
-            gevent.sleep(PUBLISH_PAUSE_S)
+            gevent.sleep(self.publish_pause())
             now = time.monotonic()
             for waiting in self.queue.expire(now):
                 pending = self.pending.get(waiting.id)
@@ -347,8 +348,10 @@
     def load(self, now: float) -> ReplicaLoad:
         """Return the load of the replica as the other hosts need it."""
         plan = self.plan
-        ready = [name for name in plan.resident if plan.is_held(name)]
-        ready += [AdapterName(model, "") for model in plan.models]
+        resident: dict[str, list[str]] = {model: [""] for model in plan.models}
+        for name in plan.resident:
+            if plan.is_held(name):
+                resident.setdefault(name.model, []).append(name.adapter)
         return ReplicaLoad(
             replica=self.replica.id,
             fence=self.fence,
@@ -358,7 +361,7 @@
             load_wait_s=self.load_wait_s(now),
             failure_rate=self.health.failure_rate(self.replica.id, now)
             + float(self.health.is_paused(self.replica.id, now)),
-            resident=[[name.model, name.adapter] for name in ready],
+            resident=resident,
             loading=[
                 [name.model, name.adapter, plan.load_left_s(name, now)]
                 for name in plan.loading
--- a/src/filbertyard/gateway/state.py
+++ b/src/filbertyard/gateway/state.py
@@ -4,8 +4,8 @@
 
 import json
 import logging
-from collections.abc import Callable
 from collections.abc import Iterable
+from dataclasses import replace
 
 from ..exceptions import DocumentError
 from ..keyvalue import Item
@@ -33,7 +33,10 @@
 
 
 class Feed:
-    """The newest known items below one prefix, with removals."""
+    """The newest known items below one prefix, with removals.
+
+    `revision` is that of the newest change that other hosts need.
+    """
 
     def __init__(self, prefix: str) -> None:
         self.prefix = prefix
@@ -50,7 +53,6 @@
             return False
         self.items[item.key] = item
         self.removed.pop(item.key, None)
-        self.revision = max(self.revision, item.mod_revision)
         return True
 
     def remove(self, key: str, revision: int) -> bool:
@@ -87,35 +89,41 @@
         self.owners: dict[str, OwnerRecord] = {}
         self.missing_since: dict[str, float] = {}
         self.store_disturbed_at = float("-inf")
-        self.listeners: list[Callable[[], None]] = []
 
     def feed_list(self) -> list[Feed]:
         """Return the feeds."""
         return [self.operator, self.entries, self.own]
 
-    def put(self, feed: Feed, item: Item, now: float, source: str) -> None:
-        """Take over an item from the store or a peer."""
+    def put(self, feed: Feed, item: Item, now: float, source: str) -> bool:
+        """Take over an item from the store or a peer; tell if others need it too."""
         if not feed.put(item):
-            return
+            return False
+        matters = True
         if feed is self.operator:
             self.put_operator(item, now, source)
         elif feed is self.entries:
-            self.put_replica(item, source)
+            matters = self.put_replica(item, source)
         else:
             self.put_own(item, now, source)
-        self.notify()
+        if matters:
+            feed.revision = max(feed.revision, item.mod_revision)
+        return matters
 
     def remove(
         self, feed: Feed, key: str, revision: int, now: float, source: str
-    ) -> None:
-        """Take over a removal from the store or a peer."""
+    ) -> bool:
+        """Take over a removal from the store or a peer; tell if it was news."""
         if not feed.remove(key, revision):
-            return
+            return False
         if feed is self.entries:
             self.remove_replica(key, revision, now, source)
         elif feed is self.own:
             self.remove_own(key, now, source)
-        self.notify()
+        return True
+
+    def note_disturbed(self, at: float) -> None:
+        """Note that the store did not answer at a time on the monotonic clock."""
+        self.store_disturbed_at = max(self.store_disturbed_at, at)
 
     def replace(
         self, feed: Feed, items: Iterable[Item], revision: int, now: float
@@ -128,11 +136,6 @@
             if key not in found and known.mod_revision <= revision:
                 self.remove(feed, key, revision, now, "store")
 
-    def notify(self) -> None:
-        """Tell those who wait for changes."""
-        for listener in self.listeners:
-            listener()
-
     def put_operator(self, item: Item, now: float, source: str) -> None:
         """Take over a configuration or the announcement of a version."""
         layout = self.wire.layout
@@ -164,8 +167,8 @@
                 logger, "document_rejected", level=logging.WARNING, error=str(error)
             )
 
-    def put_replica(self, item: Item, source: str) -> None:
-        """Take over a replica's entry."""
+    def put_replica(self, item: Item, source: str) -> bool:
+        """Take over a replica's entry; tell if more than what it holds changed."""
         name = item.key.removeprefix(self.entries.prefix)
         try:
             replica = self.wire.read_replica(item)
@@ -175,26 +178,31 @@
             log_event(
                 logger, "document_rejected", level=logging.WARNING, error=str(error)
             )
-            return
+            return True
         known = self.replicas.get(name)
         self.replicas[name] = replica
         self.lapsed.pop(name, None)
-        if (
-            known is None
-            or known.is_leaving != replica.is_leaving
-            or known.born_ms != replica.born_ms
-        ):
-            log_event(
-                logger,
-                "replica_listed",
-                replica=name,
-                service=replica.service,
-                address=replica.address,
-                leaving=replica.is_leaving,
-                born=replica.born_ms,
-                revision=item.mod_revision,
-                source=source,
+        if known is not None:
+            same_holdings = replace(
+                known,
+                revision=replica.revision,
+                models=replica.models,
+                adapters=replica.adapters,
             )
+            if same_holdings == replica:
+                return False
+        log_event(
+            logger,
+            "replica_listed",
+            replica=name,
+            service=replica.service,
+            address=replica.address,
+            leaving=replica.is_leaving,
+            born=replica.born_ms,
+            revision=item.mod_revision,
+            source=source,
+        )
+        return True
 
     def remove_replica(self, key: str, revision: int, now: float, source: str) -> None:
         """Stop using a replica, or keep it for a moment after an outage."""
--- a/src/filbertyard/gateway/sync.py
+++ b/src/filbertyard/gateway/sync.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import logging
+import math
 import random
 import time
+from collections.abc import Callable
 
 import gevent
 from result import Err
@@ -13,9 +15,11 @@
 from ..exceptions import HistoryLostError
 from ..keyvalue import Item
 from ..keyvalue import KeyValue
+from ..keyvalue import WatchEvent
 from ..logs import log_event
 from ..peers import PeerNetwork
 from .links import FeedPart
+from .links import FeedPush
 from .links import FetchFeed
 from .state import Feed
 from .state import GatewayState
@@ -28,13 +32,16 @@
 
 # Pause after each answer of a watch. Replicas write often; their changes are taken
 # together. The bound for a leaving replica is two seconds.
-ENTRY_PAUSE_S = 0.6
+ENTRY_PAUSE_S = 0.4
 OPERATOR_PAUSE_S = 0.05
 OWN_PAUSE_S = 0.2
 
 # Pause after a failed call of the store, with as much again at random.
 RETRY_PAUSE_S = 0.25
 
+# Pause between two looks whether this host must follow the store itself.
+REST_PAUSE_S = 0.2
+
 # A peer is asked for what this host missed after this time without the change.
 PEER_GRACE_S = 0.3
 
@@ -45,8 +52,16 @@
     """Follow one feed in the store."""
 
     def __init__(
-        self, state: GatewayState, feed: Feed, store: KeyValue, pause_s: float
+        self,
+        state: GatewayState,
+        feed: Feed,
+        store: KeyValue,
+        pause_s: float,
+        follows: Callable[[], bool],
+        push: Callable[[FeedPush], None],
     ) -> None:
+        self.follows = follows
+        self.push = push
         self.state = state
         self.feed = feed
         self.store = store
@@ -55,8 +70,11 @@
         self.read_once = False
 
     def run(self) -> None:
-        """Read the feed and then its changes, for ever."""
+        """Follow the feed while this host should, for ever."""
         while True:
+            if self.read_once and not self.follows():
+                gevent.sleep(REST_PAUSE_S)
+                continue
             try:
                 self.follow()
             except HistoryLostError as error:
@@ -74,22 +92,31 @@
         now = time.monotonic()
         self.state.replace(self.feed, found.items, found.revision, now)
         self.read_once = True
-        self.state.notify()
         changes = self.store.watch(self.feed.prefix, found.revision + 1, WATCH_WAIT_S)
         for events in changes:
             self.note_connected()
-            now = time.monotonic()
-            for event in events:
-                if event.kind == "put":
-                    self.state.put(self.feed, event.item, now, "store")
-                else:
-                    item = event.item
-                    self.state.remove(
-                        self.feed, item.key, item.mod_revision, now, "store"
-                    )
+            self.take(events)
+            if not self.follows():
+                return
             if events:
                 gevent.sleep(self.pause_s)
 
+    def take(self, events: list[WatchEvent]) -> None:
+        """Take over changes and pass on those that other hosts need."""
+        now = time.monotonic()
+        feed = self.feed
+        items, removed = [], []
+        for event in events:
+            item = event.item
+            if event.kind == "put":
+                if self.state.put(feed, item, now, "store"):
+                    items.append([item.key, item.value, item.mod_revision])
+            elif self.state.remove(feed, item.key, item.mod_revision, now, "store"):
+                removed.append([item.key, item.mod_revision])
+        if items or removed:
+            age_s = now - self.state.store_disturbed_at
+            self.push(FeedPush(feed.prefix, items, removed, age_s))
+
     def note_connected(self) -> None:
         """Note that the store answered."""
         if not self.is_connected:
@@ -98,7 +125,7 @@
 
     def note_lost(self, error: FilbertyardError) -> None:
         """Note that the store did not answer."""
-        self.state.store_disturbed_at = time.monotonic()
+        self.state.note_disturbed(time.monotonic())
         if self.is_connected or not self.read_once:
             log_event(
                 logger,
@@ -119,6 +146,7 @@
         self.behind_since: dict[str, float] = {}
         self.fetching: set[str] = set()
         peers.handle(FetchFeed, self.answer_fetch)
+        peers.handle(FeedPush, self.take_push)
 
     def note_revisions(self, peer: str, revisions: dict[str, int], now: float) -> None:
         """Compare a peer's revisions with those known here; fetch what is missing."""
@@ -142,19 +170,29 @@
             self.fetching.discard(feed.prefix)
         if isinstance(answer, Err) or not isinstance(answer.ok_value, FeedPart):
             return False
-        part = answer.ok_value
+        self.take(peer, feed, answer.ok_value)
+        return True
+
+    def take(self, peer: str, feed: Feed, part: FeedPart | FeedPush) -> None:
+        """Take over what a peer sent of a feed."""
         now = time.monotonic()
+        self.state.note_disturbed(now - part.disturbed_s)
         for key, value, revision in part.items:
             self.state.put(feed, Item(key, value, 0, revision), now, peer)
         for key, revision in part.removed:
             self.state.remove(feed, key, revision, now, peer)
-        return True
+
+    def take_push(self, peer: str, push: FeedPush) -> None:
+        """Take over what a relay passed on."""
+        feed = self.state.feeds.get(push.prefix)
+        if feed is not None:
+            self.take(peer, feed, push)
 
     def answer_fetch(self, peer: str, request: FetchFeed) -> FeedPart:
         """Return what a peer misses of a feed."""
         feed = self.state.feeds.get(request.prefix)
         if feed is None:
-            return FeedPart([], [])
+            return FeedPart([], [], math.inf)
         after = request.after
         return FeedPart(
             [
@@ -167,4 +205,5 @@
                 for key, revision in feed.removed.items()
                 if revision > after
             ],
+            time.monotonic() - self.state.store_disturbed_at,
         )
--- a/tests/test_gateway_owner.py
+++ b/tests/test_gateway_owner.py
@@ -44,6 +44,7 @@
         releases={},
         may_order=lambda: True,
         publish=lambda load: None,
+        publish_pause=lambda: 0.1,
         metrics=Metrics(),
     )
     owner.plan.models.add("m0")
