Keep ownership through a restart, claim lost replicas in turn, refuse late requests when stopping

Change: a stopping host gives its replicas up last and its next process takes them back; a lost host is succeeded after 8.5 s, then the order gap; claims are staggered from the moment they become possible; from 2.5 s after SIGTERM requests are refused as not run. Tests: state machine of the tenure, restart test, a stopping host (failed first).

--- a/src/filbertyard/gateway/claims.py
+++ b/src/filbertyard/gateway/claims.py
@@ -26,6 +26,7 @@
 from .tenure import HOST_LEASE_S
 from .tenure import ClaimDecision
 from .tenure import Tenure
+from .tenure import claim_cause
 from .tenure import decide_claims
 from .types import HostRecord
 
@@ -78,7 +79,7 @@
         self.is_registered = False
         self.written: HostRecord | None = None
         self.started_at = boot_clock()
-        self.unowned_since: dict[str, float] = {}
+        self.claimable_since: dict[str, float] = {}
         self.gone_since: dict[str, float] = {}
         self.changed = Event()
 
@@ -98,6 +99,8 @@
                         error=str(error),
                     )
                 self.is_registered = False
+                # The record may have gone with the lease or without it.
+                self.written = None
                 pause_s = RETRY_PAUSE_S
                 if isinstance(error, LeaseEndedError):
                     self.lease = 0
@@ -192,28 +195,39 @@
         replicas = self.engines()
         is_settled = boot_clock() - self.started_at >= SETTLE_S
         if is_settled:
-            for replica in replicas:
-                self.unowned_since.setdefault(replica, now)
+            self.note_claimable(replicas, now)
         decisions = decide_claims(
             host=self.record(),
             replicas=replicas,
             owners=self.state.owners,
             hosts=self.state.hosts,
             missing_since=self.state.missing_since,
-            unowned_since=self.unowned_since,
+            claimable_since=self.claimable_since,
             reachable=self.reachable(),
             tenure=self.tenure,
             now=now,
         )
-        for replica in list(self.unowned_since):
-            record = self.state.owners.get(replica)
-            is_owned = record is not None and record.host in self.state.hosts
-            if is_owned and record is not None and not record.is_released:
-                del self.unowned_since[replica]
         for decision in decisions:
             if is_settled or decision.cause == "restarted":
                 self.claim_one(decision)
 
+    def note_claimable(self, replicas: set[str], now: float) -> None:
+        """Note since when replicas may be claimed, and hosts are missing."""
+        state, host = self.state, self.record()
+        for record in state.owners.values():
+            if record.host not in state.hosts:
+                state.missing_since.setdefault(record.host, now)
+        reachable = self.reachable()
+        for replica in replicas:
+            owner = state.owners.get(replica)
+            cause = claim_cause(
+                owner, host, state.hosts, state.missing_since, reachable, now
+            )
+            if cause:
+                self.claimable_since.setdefault(replica, now)
+            else:
+                self.claimable_since.pop(replica, None)
+
     def claim_one(self, decision: ClaimDecision) -> None:
         """Claim one replica; raise KeyValueError."""
         fence = self.write_owner(decision.replica, decision.revision, decision.wait_s)
--- a/src/filbertyard/gateway/entry.py
+++ b/src/filbertyard/gateway/entry.py
@@ -68,6 +68,9 @@
 # Told to callers where nothing better is known, in seconds.
 DEFAULT_RETRY_S = 0.5
 
+# A caller refused by a stopping host finds another one at once.
+STOPPING_RETRY_S = 0.05
+
 # Share of the route's time left for the answer that ends the request.
 END_MARGIN_S = 0.05
 
@@ -164,6 +167,7 @@
         self.reported: dict[str, tuple[float, int]] = {}
         self.open_requests = 0
         self.is_stopping = False
+        self.takes_requests = True
         self.random = random.Random()
 
     def __call__(
@@ -219,6 +223,10 @@
     ) -> list[bytes]:
         """Route a request and deliver its answer."""
         configuration = self.state.configuration
+        if not self.takes_requests:
+            return self.refuse(
+                start_response, 503, request.id, "host stops", STOPPING_RETRY_S
+            )
         if configuration is None:
             return self.refuse(
                 start_response, 503, request.id, "no configuration yet", 1.0
@@ -624,6 +632,7 @@
         """Send the head of the answer with the first part of its body."""
         phrase = REASONS.get(status, "Unknown")
         delivery.status = status
+        self.close_if_stopping(headers)
         delivery.write = delivery.start_response(f"{status} {phrase}", headers)
 
     def emit(self, delivery: Delivery, data: bytes) -> None:
@@ -704,9 +713,15 @@
         """Send an answer of the gateway's own."""
         headers, body = self.wire.refusal(status, request_id, detail, retry_after_s)
         headers.append(("Content-Length", str(len(body))))
+        self.close_if_stopping(headers)
         start_response(f"{status} {REASONS[status]}", headers)
         return [body]
 
+    def close_if_stopping(self, headers: list[tuple[str, str]]) -> None:
+        """Tell callers of a stopping host to connect elsewhere."""
+        if self.is_stopping:
+            headers.append(("Connection", "close"))
+
 
 def head_pairs(lines: list[str]) -> list[tuple[str, str]]:
     """Return header lines as pairs; repeated headers are joined by commas."""
--- a/src/filbertyard/gateway/host.py
+++ b/src/filbertyard/gateway/host.py
@@ -12,7 +12,6 @@
 from typing import Any
 
 import gevent
-from gevent.event import AsyncResult
 from result import Err
 
 from ..callerserver import CallerLimits
@@ -79,7 +78,14 @@
 STORE_TIMEOUT_S = 1.0
 
 # A stopping host leaves before it is killed.
-STOP_MARGIN_S = 1.0
+STOP_MARGIN_S = 0.5
+
+# Time for the last writes of a stopping host.
+RELEASE_S = 0.3
+
+# A stopping host takes requests for this long: callers still hold its address. Later
+# ones might not end before it is killed.
+TAKE_S = 2.5
 
 # A stopping host serves new connections for at least this long, until callers have
 # asked again.
@@ -506,18 +512,21 @@
         """Leave the fleet: no new callers, running requests to their end."""
         began = time.monotonic()
         self.is_leaving = True
+        self.entry.is_stopping = True
         log_event(logger, "stopping", open_requests=self.entry.open_requests)
         self.registrar.changed.set()
         for peer in self.reachable():
             gevent.spawn(self.tell, peer, self.digest())
-        released: AsyncResult[None] = AsyncResult()
-        gevent.spawn(self.registrar.release_all).link(released)
         end = began + self.settings.bounds.grace_s - STOP_MARGIN_S
         while time.monotonic() < end:
             gevent.sleep(0.05)
+            if time.monotonic() - began >= TAKE_S:
+                self.entry.takes_requests = False
             lingered = time.monotonic() - began >= LINGER_S
             if lingered and not self.entry.open_requests:
                 break
+        # Released last: the next process of this host takes them back without a gap.
+        gevent.spawn(self.registrar.release_all).join(RELEASE_S)
         log_event(
             logger,
             "stopped",
--- a/src/filbertyard/gateway/tenure.py
+++ b/src/filbertyard/gateway/tenure.py
@@ -3,7 +3,8 @@
 Failures answered: the owner is frozen, cut off, killed or cannot reach the store while
 another host takes over. Two hosts must not give orders to one replica within the order
 gap, also where the replica does not check fencing tokens. The owner stops by itself
-when it could not renew for `TENURE_S`; a successor waits that long and the order gap.
+when it could not renew for `TENURE_S`; a successor claims after that time and waits for
+the order gap.
 """
 
 from __future__ import annotations
@@ -27,9 +28,13 @@
 # Time to live of a host's lease in the store.
 HOST_LEASE_S = 3
 
-# A host counts as lost when its record has been missing for this long; the record of
-# a host that lives comes back within two renewals after an outage.
-MISSING_S = 3.0
+# A host counts as lost when its record has been missing for this long: from then on it
+# gives no orders, and a host that was frozen for less goes on with its replicas.
+MISSING_S = TENURE_S + GUARD_S
+
+# A host that stops gives its replicas up last; its next process takes them back without
+# a gap if it starts within this time.
+RESTART_S = 2.5
 
 # Hosts that may claim the same replica do so one after the other.
 CLAIM_STAGGER_S = 0.7
@@ -100,8 +105,8 @@
                 del self.claims[replica]
 
     def succession_wait_s(self) -> float:
-        """Return how long a successor of a silent owner waits after its claim."""
-        return TENURE_S + self.order_gap_s + GUARD_S
+        """Return how long a successor waits after its claim."""
+        return self.order_gap_s + GUARD_S
 
 
 def decide_claims(
@@ -111,7 +116,7 @@
     owners: Mapping[str, OwnerRecord],
     hosts: Mapping[str, HostRecord],
     missing_since: Mapping[str, float],
-    unowned_since: Mapping[str, float],
+    claimable_since: Mapping[str, float],
     reachable: set[str],
     tenure: Tenure,
     now: float,
@@ -143,8 +148,9 @@
                 ),
             )
             place = order.index(host.id)
-            since = unowned_since.get(replica, now)
-            if now < since + place * CLAIM_STAGGER_S:
+            since = claimable_since.get(replica, now)
+            patience_s = RESTART_S if cause == "released" else 0.0
+            if now < since + patience_s + place * CLAIM_STAGGER_S:
                 owned[order[0]] += 1
                 continue
         owned[host.id] += 1
@@ -156,7 +162,7 @@
                     "new": 0.0,
                     # A wait that the earlier process did not finish begins again.
                     "restarted": known.wait_s if known is not None else 0.0,
-                    "released": tenure.order_gap_s + GUARD_S,
+                    "released": tenure.succession_wait_s(),
                     "lost": tenure.succession_wait_s(),
                 }[cause],
                 cause,
--- a/tests/test_gateway_path.py
+++ b/tests/test_gateway_path.py
@@ -348,6 +348,28 @@
     leaving.get(timeout=20)
 
 
+def test_a_stopping_host_refuses_what_it_could_not_finish(
+    serving: GatewayFleet,
+) -> None:
+    """Regression: a request taken late after SIGTERM was cut at the end."""
+    serving.text("a1")
+    stopping = serving.hosts[0]
+    for replica in serving.replicas:
+        replica.events, replica.event_s = 400, 0.01
+    early = gevent.spawn(serving.text, "a1", host=stopping)
+    wait_until(lambda: any(sum(r.running.values()) for r in serving.replicas))
+    leaving = gevent.spawn(stopping.shutdown)
+    wait_until(lambda: not stopping.entry.takes_requests)
+    before = sum(len(replica.runs) for replica in serving.replicas)
+    late = serving.text("a1", host=stopping)
+    assert late.status == 503
+    assert late.headers["connection"] == "close"
+    assert float(late.headers["retry-after"]) > 0
+    assert sum(len(replica.runs) for replica in serving.replicas) == before
+    assert early.get(timeout=20).is_whole
+    leaving.get(timeout=20)
+
+
 def test_addresses_name_live_hosts(fleet: GatewayFleet) -> None:
     expected = {host.settings.callers for host in fleet.hosts}
     wait_until(
--- a/tests/test_gateway_tenure.py
+++ b/tests/test_gateway_tenure.py
@@ -106,7 +106,7 @@
             owners=self.owners,
             hosts=self.hosts,
             missing_since=self.removed_at,
-            unowned_since={REPLICA: 0.0},
+            claimable_since={REPLICA: 0.0},
             reachable=set(),
             tenure=node.tenure,
             now=self.now,
@@ -171,7 +171,7 @@
             owners=owners,
             hosts=hosts,
             missing_since={"h2": 0.0},
-            unowned_since={REPLICA: -100.0},
+            claimable_since={REPLICA: -100.0},
             reachable=reachable,
             tenure=node.tenure,
             now=now,
@@ -182,3 +182,30 @@
     (decision,) = decide(MISSING_S + 0.1, set())
     assert decision.cause == "lost"
     assert decision.wait_s > GAP_S
+
+
+def test_a_restarted_owner_goes_on_without_a_gap_and_others_wait_for_it() -> None:
+    """Load pattern: hosts are stopped and started in turn."""
+    record = OwnerRecord(REPLICA, "h2", "1", 7, is_released=True)
+    nodes = {name: Node(name) for name in ("h1", "h2")}
+
+    def decide(name: str, now: float) -> list:
+        return decide_claims(
+            host=nodes[name].record(),
+            replicas=[REPLICA],
+            owners={REPLICA: record},
+            hosts={key: node.record() for key, node in nodes.items()},
+            missing_since={},
+            claimable_since={REPLICA: 0.0},
+            reachable=set(),
+            tenure=nodes[name].tenure,
+            now=now,
+        )
+
+    nodes["h2"].instance = 2
+    assert not decide("h1", 1.0)
+    (decision,) = decide("h2", 1.0)
+    assert (decision.cause, decision.wait_s) == ("restarted", 0.0)
+    (decision,) = decide("h1", 5.0)
+    assert decision.cause == "released"
+    assert decision.wait_s >= GAP_S
