Resynchronize with an engine after an unload of an adapter in use; ask peers that are ahead

Waiting did not end when callers give up, so requests were held in vain. Each fault has a test that failed first.

--- a/src/filbertyard/gateway/adapterplan.py
+++ b/src/filbertyard/gateway/adapterplan.py
@@ -45,7 +45,7 @@
 
 # Time between two loads of a queue before anything was observed.
 FIRST_PACE_S = 0.1
-LONGEST_PACE_S = 2.0
+LONGEST_PACE_S = 0.25
 PACE_GAIN = 0.2
 
 # Frequencies kept for each place for adapters.
@@ -101,6 +101,7 @@
         self.models: set[str] = set()
         self.resident: dict[AdapterName, int] = {}
         self.loading: dict[AdapterName, Loading] = {}
+        self.leaving: set[AdapterName] = set()
         self.near: dict[AdapterName, None] = {}
         self.in_use: Counter[AdapterName] = Counter()
         self.frequencies: dict[AdapterName, Frequency] = {}
@@ -132,6 +133,8 @@
         """Tell if the engine is known to hold the newest version of an adapter."""
         if not name.adapter:
             return name.model in self.models
+        if name in self.leaving:
+            return False
         return self.resident.get(name, 0) >= self.newest(name)
 
     def is_ready(self, name: AdapterName, now: float) -> bool:
@@ -189,7 +192,7 @@
                 continue
             if name in self.resident:
                 # An outdated version keeps its place until its last run has ended.
-                if self.in_use[name]:
+                if self.in_use[name] or name in self.leaving:
                     continue
                 return UnloadStep(name)
             if len(self.loading) >= MAX_IN_TRANSIT:
@@ -209,7 +212,9 @@
         idle = [
             name
             for name in self.resident
-            if not self.in_use[name] and not (name in kept and self.is_held(name))
+            if not self.in_use[name]
+            and name not in self.leaving
+            and not (name in kept and self.is_held(name))
         ]
         if not idle:
             return None
@@ -244,6 +249,10 @@
         self.paced_at = now
         self.pace_s += PACE_GAIN * (min(self.pace_s, FIRST_PACE_S) - self.pace_s)
 
+    def begin_unload(self, name: AdapterName) -> None:
+        """Keep the place of an adapter that the engine gives up after its runs."""
+        self.leaving.add(name)
+
     def drop(self, name: AdapterName) -> None:
         """Free the place of an adapter that the engine gave up."""
         if self.resident.pop(name, None) is not None:
@@ -285,6 +294,7 @@
             for name, version in report.adapters.items()
             if name not in self.loading
         }
+        self.leaving &= set(self.resident)
         for name, version in report.pending.items():
             if name not in self.loading:
                 self.loading[name] = Loading(
@@ -296,4 +306,5 @@
         self.models.clear()
         self.resident.clear()
         self.loading.clear()
+        self.leaving.clear()
         self.near.clear()
--- a/src/filbertyard/gateway/entry.py
+++ b/src/filbertyard/gateway/entry.py
@@ -71,6 +71,12 @@
 # A caller refused by a stopping host finds another one at once.
 STOPPING_RETRY_S = 0.05
 
+# Callers abandon a stream when nothing came for the longest of these times, counted in
+# seconds, in objectives and in pauses between events.
+PATIENCE_S = 2.0
+PATIENCE_OBJECTIVES = 4.0
+PATIENCE_PAUSES = 8.0
+
 # Share of the route's time left for the answer that ends the request.
 END_MARGIN_S = 0.05
 
@@ -106,6 +112,7 @@
     status: int = 0
     last_event: str = ""
     first_event_at: float = 0.0
+    last_part_at: float = 0.0
     bytes_sent: int = 0
     sends: int = 0
     asks: int = 0
@@ -123,6 +130,19 @@
         """Return the time until the final answer is due."""
         return self.end() - END_MARGIN_S - time.monotonic()
 
+    def patience_left_s(self) -> float:
+        """Return the time until the caller gives up waiting for the next event."""
+        route = self.route
+        if route.kind != "stream":
+            return self.left_s()
+        patience_s = max(
+            PATIENCE_S,
+            PATIENCE_OBJECTIVES * route.objective_s,
+            PATIENCE_PAUSES * route.gap_s,
+        )
+        since = self.last_part_at or self.request.arrived
+        return min(self.left_s(), since + patience_s - time.monotonic())
+
 
 class Owners(Protocol):
     """Ask owners and tell them what became of requests."""
@@ -270,7 +290,7 @@
         retry_after_s = 0.0
         is_missing = False
         ran = False
-        while delivery.left_s() > 0:
+        while delivery.patience_left_s() > 0:
             found = [
                 candidate
                 for candidate in self.owners.candidates(service, name)
@@ -341,7 +361,7 @@
         """Ask a replica's owner for a grant."""
         request = delivery.request
         now = time.monotonic()
-        left_s = delivery.left_s()
+        left_s = delivery.patience_left_s()
         ask = Ask(
             request_id=request.id,
             replica=candidate.replica,
@@ -609,6 +629,7 @@
                 delivery.first_event_at = time.monotonic()
                 self.owners.first_event(replica.id, delivery.request.id)
                 self.begin(delivery, response.status, headers)
+            delivery.last_part_at = time.monotonic()
             if not delivery.route.is_resumable:
                 self.emit(delivery, part)
                 continue
--- a/src/filbertyard/gateway/owner.py
+++ b/src/filbertyard/gateway/owner.py
@@ -53,12 +53,12 @@
 REPORT_PAUSE_S = 0.08
 REPORT_RETRY_S = 0.3
 
+# Pause between reports while the engine gives up a place after its runs.
+LEAVING_PAUSE_S = 0.3
+
 # The engine's report is read at least this often while requests wait.
 REPORT_AGE_S = 2.0
 
-# Pause before the engine is asked about a place that is not free yet.
-BUSY_PAUSE_S = 0.1
-
 # A report is taken to show all that happened this long before it.
 REPORT_LAG_S = 0.25
 
@@ -121,6 +121,7 @@
         self.born_ms = replica.born_ms
         self.reported_at = float("-inf")
         self.asked_at = float("-inf")
+        self.ordered_at = float("-inf")
         self.model_ordered_at = float("-inf")
         self.absent: Counter[AdapterName] = Counter()
         self.changed = Event()
@@ -197,7 +198,7 @@
         if not self.plan.is_ready(name, now):
             if not self.is_loadable(name):
                 return self.turn_away(waiting, host, "adapter_not_loadable", 0.3)
-            load_s = 0.0 if name in self.plan.loading else self.load_wait_s(now)
+            load_s = 0.0 if name in self.plan.loading else self.load_wait_s(now, name)
             if now + load_s + LEAST_RUN_S > waiting.deadline:
                 return self.turn_away(waiting, host, "no_place_in_time", load_s / 2)
         refused = self.queue.offer(waiting, now, self.plan.is_held)
@@ -368,17 +369,19 @@
             ],
         )
 
-    def load_wait_s(self, now: float) -> float:
+    def load_wait_s(self, now: float, name: AdapterName | None = None) -> float:
         """Estimate the time to load one more adapter, negative without orders."""
         if not self.may_order() or not self.plan.models:
             return -1.0
-        absent = {
+        absent = dict.fromkeys(
             item.adapter
-            for item in self.queue.waiting
+            for item in self.queue.order(now)
             if item.adapter not in self.plan.loading
             and not self.plan.is_held(item.adapter)
-        }
-        return self.plan.load_wait_s(len(absent), now)
+        )
+        ahead = list(absent)
+        queued = ahead.index(name) if name in absent else len(ahead)
+        return self.plan.load_wait_s(queued, now)
 
     # Orders.
 
@@ -418,10 +421,13 @@
             self.carry_out(step)
             return 0.0
         self.grant(now)
-        if self.plan.is_report_due(now):
-            if now - self.asked_at >= REPORT_PAUSE_S:
+        for is_due, pause_s in (
+            (self.plan.is_report_due(now), REPORT_PAUSE_S),
+            (bool(self.plan.leaving), LEAVING_PAUSE_S),
+        ):
+            if is_due and now - self.asked_at >= pause_s:
                 self.read_report()
-            return REPORT_PAUSE_S
+                return REPORT_PAUSE_S
         if not self.plan.models and self.may_order():
             return self.load_model(now)
         return self.pause_s(now)
@@ -437,7 +443,7 @@
 
     def pause_s(self, now: float) -> float:
         """Return the time until a load should end or a report is due."""
-        due = [TICK_S]
+        due = [LEAVING_PAUSE_S if self.plan.leaving else TICK_S]
         for load in self.plan.loading.values():
             ends = load.began + load.expected_s
             due.append((ends if now < ends else self.plan.report_due(load)) - now)
@@ -484,9 +490,8 @@
         if result == "held":
             self.plan.drop(step.name)
         else:
-            # The engine still runs requests on it; its place is not free yet.
-            gevent.sleep(BUSY_PAUSE_S)
-            self.read_report()
+            # The engine still runs requests on it; a report tells when it is gone.
+            self.plan.begin_unload(step.name)
 
     def resynchronize(self) -> None:
         """Take over the engine's sequence after an order of unknown effect."""
@@ -511,7 +516,7 @@
             self.fence,
         )
         message = self.wire.order(order, self.replica.id)
-        began = time.monotonic()
+        began = self.ordered_at = time.monotonic()
         result: OrderResult | None = None
         error_text = ""
         if not self.may_order():
@@ -579,7 +584,7 @@
         now = time.monotonic()
         if report.born_ms and report.born_ms != self.born_ms:
             self.restarted(report.born_ms)
-        if report.sequence < self.sequence:
+        if report.sequence < self.sequence and now - self.ordered_at < REPORT_LAG_S:
             # Reports lag; one from before the last order tells nothing new.
             gevent.sleep(REPORT_PAUSE_S)
             return
--- a/src/filbertyard/gateway/sync.py
+++ b/src/filbertyard/gateway/sync.py
@@ -43,7 +43,7 @@
 REST_PAUSE_S = 0.2
 
 # A peer is asked for what this host missed after this time without the change.
-PEER_GRACE_S = 0.3
+PEER_GRACE_S = 0.15
 
 FETCH_TIMEOUT_S = 1.0
 
@@ -143,7 +143,8 @@
     def __init__(self, state: GatewayState, peers: PeerNetwork) -> None:
         self.state = state
         self.peers = peers
-        self.behind_since: dict[str, float] = {}
+        self.behind_since: dict[str, tuple[int, float]] = {}
+        self.spawn: Callable[..., object] = gevent.spawn
         self.fetching: set[str] = set()
         peers.handle(FetchFeed, self.answer_fetch)
         peers.handle(FeedPush, self.take_push)
@@ -153,12 +154,15 @@
         for prefix, revision in revisions.items():
             feed = self.state.feeds.get(prefix)
             if feed is None or revision <= feed.revision:
-                self.behind_since.pop(prefix, None)
+                # This peer has nothing new; others may still be ahead of this host.
                 continue
-            since = self.behind_since.setdefault(prefix, now)
+            known, since = self.behind_since.get(prefix, (0, now))
+            if known <= feed.revision:
+                known, since = revision, now
+            self.behind_since[prefix] = (known, since)
             if now - since >= PEER_GRACE_S and prefix not in self.fetching:
                 self.fetching.add(prefix)
-                gevent.spawn(self.fetch, peer, feed)
+                self.spawn(self.fetch, peer, feed)
 
     def fetch(self, peer: str, feed: Feed) -> bool:
         """Fetch the changes that a peer knows; tell if it answered."""
--- a/src/filbertyard/gateway/tenure.py
+++ b/src/filbertyard/gateway/tenure.py
@@ -37,7 +37,7 @@
 RESTART_S = 2.5
 
 # Hosts that may claim the same replica do so one after the other.
-CLAIM_STAGGER_S = 0.7
+CLAIM_STAGGER_S = 1.5
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/filbertyard/platform/standins.py
+++ b/src/filbertyard/platform/standins.py
@@ -228,7 +228,7 @@
         self.runs: list[dict[str, Any]] = []
         self.orders: list[dict[str, Any]] = []
         self.overfilled = 0
-        self.evicted_in_use = 0
+        self.leaving: set[str] = set()
         self.cancelled = 0
 
     def entry(self, state: str = "ready") -> dict[str, Any]:
@@ -300,10 +300,15 @@
         """Apply an order at the sequence that it expects and return the status."""
         if order.get("expected", self.sequence) != self.sequence:
             return 409
-        self.sequence += 1
         name = order.get("adapter", "")
+        if name in self.leaving and order["operation"] == "unload":
+            # The order is under way already; it does not count again.
+            return 202
+        self.sequence += 1
         if order["operation"] == "unload":
-            self.evicted_in_use += self.running[name] > 0
+            if self.running[name] > 0:
+                self.leaving.add(name)
+                return 202
             self.adapters.pop(name, None)
             return 200
         self.adapters.pop(name, None)
@@ -410,3 +415,6 @@
         finally:
             self.cancelled += not finished
             self.running[name] -= 1
+            if name in self.leaving and not self.running[name]:
+                self.leaving.discard(name)
+                self.adapters.pop(name, None)
--- a/src/filbertyard/standins/web.py
+++ b/src/filbertyard/standins/web.py
@@ -18,6 +18,7 @@
 
 STATUS_LINES = {
     200: "200 OK",
+    202: "202 Accepted",
     304: "304 Not Modified",
     400: "400 Bad Request",
     404: "404 Not Found",
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -401,3 +401,18 @@
         return hits
 
     assert play_plan(True) > 1.05 * play_plan(False)
+
+
+def test_a_place_that_is_being_given_up_counts_until_a_report_shows_it_free() -> None:
+    plan = plan_of(2, "a", "b")
+    step = plan.next_step([AdapterName("m0", "c")], 1.0)
+    assert isinstance(step, UnloadStep)
+    plan.begin_unload(step.name)
+    assert not plan.is_held(step.name)
+    other = plan.next_step([AdapterName("m0", "c")], 1.0)
+    assert isinstance(other, UnloadStep)
+    assert other != step
+    plan.begin_unload(other.name)
+    assert plan.next_step([AdapterName("m0", "c")], 1.0) is None
+    plan.reconcile(report(1, b=1), 2.0)
+    assert isinstance(plan.next_step([AdapterName("m0", "c")], 2.0), LoadStep)
--- a/tests/test_gateway_path.py
+++ b/tests/test_gateway_path.py
@@ -81,12 +81,31 @@
     assert {reply.status for reply in replies} == {200}
     for replica in serving.replicas:
         assert not replica.overfilled
-        assert not replica.evicted_in_use
+        assert not replica.leaving
         orders = [order["expected"] for order in replica.orders]
         assert orders == sorted(orders)
         assert len({order["holder"] for order in replica.orders}) <= 1
 
 
+def test_an_adapter_that_the_engine_still_uses_does_not_block_the_others(
+    serving: GatewayFleet,
+) -> None:
+    """Regression: its unload was repeated for ever, under a sequence of our own."""
+    engines = [replica for replica in serving.replicas if replica.model]
+    for number in range(8):
+        assert serving.text(f"a{number}").status == 200
+    # Runs that no host knows of, as after a restart of their owner.
+    held = {replica.id: set(replica.adapters) for replica in engines}
+    for replica in engines:
+        for name in list(replica.adapters)[:3]:
+            replica.running[name] += 1
+    for number in range(20, 32):
+        assert serving.text(f"a{number}").status == 200
+    assert all(len(replica.leaving) <= 3 for replica in engines)
+    assert all(not replica.overfilled for replica in engines)
+    assert held
+
+
 def test_lost_orders_are_repeated_under_the_same_sequence(
     serving: GatewayFleet,
 ) -> None:
@@ -246,6 +265,28 @@
     assert not any(replica.runs for replica in serving.replicas)
 
 
+def test_a_request_that_callers_would_give_up_is_refused_at_once(
+    serving: GatewayFleet,
+) -> None:
+    """Load pattern: more missing adapters than can be loaded while callers wait."""
+    serving.store.write(
+        "op/config",
+        configuration(
+            2,
+            text=route("text", "/text/", "streaming", "engine", targetLatencyMs=100),
+        ),
+    )
+    wait_until(
+        lambda: all(host.state.configuration.version == 2 for host in serving.hosts)
+    )
+    for replica in serving.replicas:
+        replica.load_s = 60.0
+    asks = [gevent.spawn(serving.text, f"a{number}") for number in range(12)]
+    replies = [ask.get(timeout=30) for ask in asks]
+    assert {reply.status for reply in replies} == {503}
+    assert not any(replica.runs for replica in serving.replicas)
+
+
 def test_configuration_changes_take_hold_and_routes_go(fleet: GatewayFleet) -> None:
     assert fleet.send("/order/x").status == 200
     fleet.store.write(
--- /dev/null
+++ b/tests/test_gateway_sync.py
@@ -0,0 +1,74 @@
+"""How hosts learn from one another what the store does not tell them."""
+
+from result import Ok
+
+from filbertyard.gateway.links import FeedPart
+from filbertyard.gateway.relays import follows_store
+from filbertyard.gateway.relays import relays
+from filbertyard.gateway.state import create_gateway_state
+from filbertyard.gateway.sync import PEER_GRACE_S
+from filbertyard.gateway.sync import PeerSync
+from filbertyard.keyvalue import Item
+from filbertyard.platform.exchange import create_platform_wire
+
+
+class Peers:
+    """Answers for fetches from other hosts."""
+
+    def __init__(self) -> None:
+        self.asked: list[str] = []
+
+    def handle(self, cls: type, handler: object) -> None:
+        pass
+
+    def call(self, peer: str, message: object, timeout_s: float) -> Ok:
+        self.asked.append(peer)
+        return Ok(FeedPart([], [], 100.0))
+
+
+def test_a_host_that_is_behind_asks_although_other_peers_are_behind_too() -> None:
+    """Regression: a configuration came 2.4 s late after both relays were lost."""
+    peers = Peers()
+    sync = PeerSync(create_gateway_state(create_platform_wire()), peers)
+    sync.spawn = lambda function, *arguments: function(*arguments)
+    for tick in range(4):
+        now = tick * PEER_GRACE_S / 2
+        sync.note_revisions("ahead", {"op/": 9}, now)
+        sync.note_revisions("behind", {"op/": 0}, now)
+    assert peers.asked
+    assert set(peers.asked) == {"ahead"}
+
+
+def test_two_hosts_of_a_zone_follow_the_store() -> None:
+    """Load pattern: many hosts, each call of the store counted."""
+    hosts = {f"h{number}": True for number in range(30)}
+    following = [
+        host
+        for host in hosts
+        if follows_store(host, {key: True for key in hosts if key != host})
+    ]
+    assert sorted(following) == sorted(relays(hosts))
+    assert len(following) == 2
+
+
+def test_a_host_whose_relays_cannot_reach_the_store_follows_it_itself() -> None:
+    hosts = {f"h{number}": True for number in range(5)}
+    for relay in relays(hosts):
+        hosts[relay] = False
+    other = next(host for host in hosts if hosts[host])
+    assert follows_store(other, {k: v for k, v in hosts.items() if k != other})
+
+
+def test_an_old_entry_never_replaces_a_newer_one() -> None:
+    """Guards against a configuration that goes back within a process."""
+    state = create_gateway_state(create_platform_wire())
+    feed = state.operator
+    assert feed.put(item("op/x", 5))
+    assert not feed.put(item("op/x", 4))
+    assert feed.remove("op/x", 6)
+    assert not feed.put(item("op/x", 6))
+    assert feed.put(item("op/x", 7))
+
+
+def item(key: str, revision: int) -> Item:
+    return Item(key, b"{}", 0, revision)
