Keep adapters in use while the engine may still run a broken request

The end of an earlier question also withdrew the next one of the same request. Change: after a request that broke off, its adapter stays in use until a report no longer lists the run; while a place is being given up no other order is sent; questions carry a number.

--- a/src/filbertyard/gateway/adapterplan.py
+++ b/src/filbertyard/gateway/adapterplan.py
@@ -184,6 +184,9 @@
 
     def next_step(self, waiting: Iterable[AdapterName], now: float) -> Step | None:
         """Return the next order for the waiting requests, the most pressing first."""
+        if self.leaving:
+            # The engine takes no other order until it has given the place up.
+            return None
         wanted = list(dict.fromkeys(waiting))
         for name in wanted:
             if self.is_held(name) or name in self.loading:
--- a/src/filbertyard/gateway/entry.py
+++ b/src/filbertyard/gateway/entry.py
@@ -121,6 +121,13 @@
     replicas: list[str] = field(default_factory=list)
     causes: list[str] = field(default_factory=list)
 
+    def grant_id(self) -> str:
+        """Return the id of the present question to an owner.
+
+        Messages about an earlier question may arrive after those about this one.
+        """
+        return f"{self.request.id}#{self.asks}"
+
     def end(self) -> float:
         """Return when the request must have its final answer."""
         request = self.request
@@ -321,12 +328,12 @@
             replica = self.state.replicas.get(candidate.replica)
             if replica is None or replica.is_leaving:
                 # It began to leave while the request waited.
-                self.owners.finished(candidate.replica, request.id, "not_run")
+                self.owners.finished(candidate.replica, delivery.grant_id(), "not_run")
                 delivery.causes.append("replica_leaving")
                 excluded[candidate.replica] += 1
                 continue
             if delivery.sends and not self.may_repeat(delivery, service):
-                self.owners.finished(replica.id, request.id, "not_run")
+                self.owners.finished(replica.id, delivery.grant_id(), "not_run")
                 break
             attempt = self.send_granted(delivery, replica, version)
             if attempt.outcome == "delivered":
@@ -363,7 +370,7 @@
         now = time.monotonic()
         left_s = delivery.patience_left_s()
         ask = Ask(
-            request_id=request.id,
+            request_id=delivery.grant_id(),
             replica=candidate.replica,
             model=name.model,
             adapter=name.adapter,
@@ -377,7 +384,7 @@
         try:
             return self.owners.ask(ask, left_s)
         except BaseException:
-            self.owners.finished(candidate.replica, request.id, "withdrawn")
+            self.owners.finished(candidate.replica, ask.request_id, "withdrawn")
             raise
 
     def send_granted(
@@ -401,7 +408,7 @@
                 outcome = "unreachable"
             return attempt
         finally:
-            self.owners.finished(replica.id, delivery.request.id, outcome)
+            self.owners.finished(replica.id, delivery.grant_id(), outcome)
 
     def may_repeat(self, delivery: Delivery, service: str) -> bool:
         """Take one repeat of the budget."""
@@ -627,7 +634,7 @@
         for part in response.parts():
             if delivery.write is None:
                 delivery.first_event_at = time.monotonic()
-                self.owners.first_event(replica.id, delivery.request.id)
+                self.owners.first_event(replica.id, delivery.grant_id())
                 self.begin(delivery, response.status, headers)
             delivery.last_part_at = time.monotonic()
             if not delivery.route.is_resumable:
--- a/src/filbertyard/gateway/owner.py
+++ b/src/filbertyard/gateway/owner.py
@@ -53,7 +53,7 @@
 REPORT_PAUSE_S = 0.08
 REPORT_RETRY_S = 0.3
 
-# Pause between reports while the engine gives up a place after its runs.
+# Pause between reports while requests that ended here may still run at the engine.
 LEAVING_PAUSE_S = 0.3
 
 # The engine's report is read at least this often while requests wait.
@@ -84,6 +84,15 @@
     )
 
 
+@dataclass(slots=True)
+class Lingering:
+    """A request that ended here and may still run at the engine."""
+
+    adapter: AdapterName
+    since: float
+    deadline: float
+
+
 class ReplicaOwner:
     """Grants and orders of one engine; `may_order` tells if the claim still holds."""
 
@@ -117,6 +126,7 @@
         self.http = HttpPeer(replica.address, timeout_s=REPORT_TIMEOUT_S, step="order")
         self.pending: dict[str, Pending] = {}
         self.hosts: dict[str, str] = {}
+        self.lingering: dict[str, Lingering] = {}
         self.sequence = -1
         self.born_ms = replica.born_ms
         self.reported_at = float("-inf")
@@ -297,7 +307,13 @@
         self.hosts.pop(request_id, None)
         if started is None:
             return
-        self.plan.release(started.waiting.adapter)
+        if outcome in ("done", "not_run", "absent", "unreachable", "withdrawn"):
+            self.plan.release(started.waiting.adapter)
+        else:
+            # The engine may run on although the connection is closed.
+            self.lingering[request_id] = Lingering(
+                started.waiting.adapter, now, started.waiting.deadline
+            )
         if outcome == "absent":
             self.note_absent(started.waiting.adapter)
         elif outcome == "unreachable":
@@ -423,7 +439,8 @@
         self.grant(now)
         for is_due, pause_s in (
             (self.plan.is_report_due(now), REPORT_PAUSE_S),
-            (bool(self.plan.leaving), LEAVING_PAUSE_S),
+            (bool(self.plan.leaving), REPORT_PAUSE_S),
+            (bool(self.lingering and self.queue.waiting), LEAVING_PAUSE_S),
         ):
             if is_due and now - self.asked_at >= pause_s:
                 self.read_report()
@@ -443,7 +460,7 @@
 
     def pause_s(self, now: float) -> float:
         """Return the time until a load should end or a report is due."""
-        due = [LEAVING_PAUSE_S if self.plan.leaving else TICK_S]
+        due = [REPORT_PAUSE_S if self.plan.leaving else TICK_S]
         for load in self.plan.loading.values():
             ends = load.began + load.expected_s
             due.append((ends if now < ends else self.plan.report_due(load)) - now)
@@ -579,6 +596,15 @@
             ) from error
         self.take_report(report)
 
+    def end_lingering(self, report: EngineReport, now: float) -> None:
+        """Release the adapters of requests that the engine no longer runs."""
+        for request_id, item in list(self.lingering.items()):
+            is_shown = now - item.since >= REPORT_LAG_S
+            is_running = request_of(request_id) in report.run_ids
+            if (is_shown and not is_running) or now > item.deadline:
+                del self.lingering[request_id]
+                self.plan.release(item.adapter)
+
     def take_report(self, report: EngineReport) -> None:
         """Reconcile with a report unless it is older than the last order."""
         now = time.monotonic()
@@ -598,8 +624,14 @@
             )
         self.sequence = report.sequence
         self.reported_at = now
+        self.end_lingering(report, now)
         before = len(self.plan.loading)
         self.plan.reconcile(report, now)
         if len(self.plan.loading) != before:
             self.dirty = True
         self.grant(now)
+
+
+def request_of(grant_id: str) -> str:
+    """Return the request's id of a grant's id."""
+    return grant_id.partition("#")[0]
--- a/src/filbertyard/gateway/types.py
+++ b/src/filbertyard/gateway/types.py
@@ -171,6 +171,7 @@
     born_ms: int = 0
     running: int = 0
     waiting: int = 0
+    run_ids: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/filbertyard/platform/documents.py
+++ b/src/filbertyard/platform/documents.py
@@ -187,6 +187,8 @@
     born: int = 0
     running: int = 0
     queued: int = 0
+    # Rows of request id, tokens in memory, events made and priority.
+    runs: list[list[Any]] = []
 
 
 class VersionDocument(Document):
@@ -303,4 +305,5 @@
         born_ms=document.born,
         running=document.running,
         waiting=document.queued,
+        run_ids=frozenset(str(row[0]) for row in document.runs if row),
     )
--- a/src/filbertyard/platform/standins.py
+++ b/src/filbertyard/platform/standins.py
@@ -224,6 +224,7 @@
         self.adapters: dict[str, int] = {}
         self.pending: dict[str, int] = {}
         self.running: Counter[str] = Counter()
+        self.run_ids: set[str] = set()
         self.faults = ReplicaFaults()
         self.runs: list[dict[str, Any]] = []
         self.orders: list[dict[str, Any]] = []
@@ -282,6 +283,7 @@
             "born": self.born,
             "running": sum(self.running.values()),
             "queued": 0,
+            "runs": [[request_id, 1, 1, 5] for request_id in self.run_ids],
         }
 
     def order(
@@ -304,6 +306,8 @@
         if name in self.leaving and order["operation"] == "unload":
             # The order is under way already; it does not count again.
             return 202
+        if self.leaving:
+            return 409
         self.sequence += 1
         if order["operation"] == "unload":
             if self.running[name] > 0:
@@ -400,7 +404,9 @@
     def stream(self, environ: Environ, name: str) -> Iterable[bytes]:
         """Yield numbered events; a test can break the stream in the middle."""
         start = int(environ.get("HTTP_LAST_EVENT_ID") or 0)
+        request_id = environ.get("HTTP_REQUEST_ID", "")
         self.running[name] += 1
+        self.run_ids.add(request_id)
         finished = False
         try:
             for number in range(start + 1, self.events + 1):
@@ -415,6 +421,7 @@
         finally:
             self.cancelled += not finished
             self.running[name] -= 1
+            self.run_ids.discard(request_id)
             if name in self.leaving and not self.running[name]:
                 self.leaving.discard(name)
                 self.adapters.pop(name, None)
--- a/tests/test_gateway_owner.py
+++ b/tests/test_gateway_owner.py
@@ -1,5 +1,7 @@
 """The owner's side of an engine: grants, leaving replicas, lost questions."""
 
+from dataclasses import replace
+
 import gevent
 import pytest
 
@@ -9,6 +11,7 @@
 from filbertyard.gateway.owner import ReplicaOwner
 from filbertyard.gateway.types import AdapterName
 from filbertyard.gateway.types import EngineLimits
+from filbertyard.gateway.types import EngineReport
 from filbertyard.gateway.types import ModelLimits
 from filbertyard.gateway.types import Replica
 from filbertyard.metrics import Metrics
@@ -121,3 +124,34 @@
     answer = owner.ask(ask("1", "a9", deadline_s=0.2), "h2")
     assert isinstance(answer, RequestTurnedAway)
     assert answer.cause == "no_place_in_time"
+
+
+def test_an_adapter_stays_in_use_while_the_engine_may_run_a_broken_request(
+    owner: ReplicaOwner,
+) -> None:
+    """Regression: its unload kept the engine from all other orders for seconds."""
+    owner.ask(ask("1#1"), "h2")
+    owner.finish("1#1", "failed")
+    assert owner.plan.in_use[NAME] == 1
+    running = EngineReport(0, False, {"m0": 1}, {NAME: 1}, {}, run_ids=frozenset("1"))
+    owner.sequence = 0
+    owner.lingering["1#1"].since -= 10.0
+    owner.take_report(running)
+    assert owner.plan.in_use[NAME] == 1
+    owner.take_report(replace(running, run_ids=frozenset()))
+    assert owner.plan.in_use[NAME] == 0
+
+
+def test_the_end_of_an_earlier_question_does_not_end_the_next(
+    owner: ReplicaOwner,
+) -> None:
+    """Regression: a request whose adapter was absent lost its second question."""
+    owner.ask(ask("1#1"), "h2")
+    second = gevent.spawn(owner.ask, ask("1#2", is_missing=True), "h2")
+    gevent.sleep(0.01)
+    owner.finish("1#1", "absent")
+    gevent.sleep(0.01)
+    assert not second.ready()
+    owner.plan.resident[NAME] = 1
+    owner.grant_ready()
+    assert isinstance(second.get(timeout=5), Granted)
