--- a/src/filbertyard/gateway/admission.py
+++ b/src/filbertyard/gateway/admission.py
@@ -54,13 +54,19 @@
 # A request with less time left than this is not started.
 LEAST_RUN_S = 0.15
 
+# A started request counts as ended this long after its caller's deadline.
+OVERDUE_S = 1.0
+
 # Requests are told to come back after at least this time.
 LEAST_RETRY_S = 0.2
 
 
 @dataclass(slots=True, eq=False)
 class Waiting:
-    """One request that waits; times are on the owner's monotonic clock."""
+    """One request that waits; times are on the owner's monotonic clock.
+
+    It must start before `deadline`; once started it may run until `end`.
+    """
 
     id: str
     adapter: AdapterName
@@ -68,6 +74,7 @@
     arrived: float
     objective_at: float
     deadline: float
+    end: float
     prompt_tokens: int
     output_tokens: int
 
@@ -259,11 +266,11 @@
         return late
 
     def overdue(self, now: float) -> list[str]:
-        """Return started requests past their deadline, whose host told no end."""
+        """Return started requests past their end, of which no host told it."""
         return [
             request_id
             for request_id, item in self.started.items()
-            if now > item.waiting.deadline + 1.0
+            if now > item.waiting.end + OVERDUE_S
         ]
 
 
--- a/src/filbertyard/gateway/links.py
+++ b/src/filbertyard/gateway/links.py
@@ -65,8 +65,9 @@
 class Ask(Message):
     """Ask the owner of a replica whether a request may be sent there, and wait.
 
-    Times are in seconds from now; `is_missing` tells that the replica has just said
-    that it does not hold the adapter.
+    Times are in seconds from now: until the objective passes, until the caller gives up
+    waiting for the first event, and until it gives up the answer. `is_missing` tells
+    that the replica has just said that it does not hold the adapter.
     """
 
     request_id: str
@@ -75,6 +76,7 @@
     adapter: str
     rank: int
     objective_s: float
+    patience_s: float
     deadline_s: float
     prompt_tokens: int
     output_tokens: int
--- a/src/filbertyard/gateway/owner.py
+++ b/src/filbertyard/gateway/owner.py
@@ -195,7 +195,8 @@
             rank=ask.rank,
             arrived=now,
             objective_at=now + ask.objective_s,
-            deadline=now + ask.deadline_s,
+            deadline=now + ask.patience_s,
+            end=now + ask.deadline_s,
             prompt_tokens=ask.prompt_tokens,
             output_tokens=ask.output_tokens,
         )
@@ -220,7 +221,7 @@
         if not pending.answer.ready():
             self.changed.set()
         try:
-            answer = pending.answer.get(timeout=ask.deadline_s)
+            answer = pending.answer.get(timeout=ask.patience_s)
         except gevent.Timeout:
             answer = None
         finally:
@@ -312,7 +313,7 @@
         else:
             # The engine may run on although the connection is closed.
             self.lingering[request_id] = Lingering(
-                started.waiting.adapter, now, started.waiting.deadline
+                started.waiting.adapter, now, started.waiting.end
             )
         if outcome == "absent":
             self.note_absent(started.waiting.adapter)
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -95,6 +95,7 @@
                 arrived=at,
                 objective_at=at + (0.8 if urgent else 1.0),
                 deadline=at + 8.0,
+                end=at + 8.0,
                 prompt_tokens=prompt,
                 output_tokens=70 if urgent else 170,
             )
@@ -185,10 +186,10 @@
     _, refused = play(items, paced_queue())
     assert refused
     queue = EngineQueue(1, 1000)
-    first = Waiting("1", A, 0, 0.0, 1.0, 10.0, 10, 10)
+    first = Waiting("1", A, 0, 0.0, 1.0, 10.0, 10.0, 10, 10)
     assert queue.offer(first, 0.0, ready) is None
     queue.take(0.0, ready)
-    late = Waiting("2", A, 0, 0.0, 1.0, 0.1, 10, 10)
+    late = Waiting("2", A, 0, 0.0, 1.0, 0.1, 0.1, 10, 10)
     turned = queue.offer(late, 0.0, ready)
     assert turned is not None
     assert turned.retry_after_s > 0
@@ -197,15 +198,15 @@
 def test_nothing_is_refused_while_places_are_free() -> None:
     queue = EngineQueue(8, 100_000)
     for number in range(8):
-        item = Waiting(str(number), A, 5, 0.0, 1.0, 5.0, 10, 10)
+        item = Waiting(str(number), A, 5, 0.0, 1.0, 5.0, 5.0, 10, 10)
         assert queue.offer(item, 0.0, ready) is None
 
 
 def test_requests_that_wait_for_adapters_hold_nobody_up() -> None:
     queue = EngineQueue(8, 100_000)
     other = AdapterName("m0", "b")
-    queue.offer(Waiting("1", other, 0, 0.0, 1.0, 9.0, 5000, 10), 0.0, ready)
-    queue.offer(Waiting("2", A, 1, 0.0, 1.0, 9.0, 100, 10), 0.0, ready)
+    queue.offer(Waiting("1", other, 0, 0.0, 1.0, 9.0, 9.0, 5000, 10), 0.0, ready)
+    queue.offer(Waiting("2", A, 1, 0.0, 1.0, 9.0, 9.0, 100, 10), 0.0, ready)
     taken = queue.take(0.0, lambda name: name == A)
     assert taken is not None
     assert taken.id == "2"
@@ -214,7 +215,9 @@
 def test_memory_bounds_what_starts() -> None:
     queue = EngineQueue(64, 1000)
     for number in range(3):
-        queue.offer(Waiting(str(number), A, 0, 0.0, 1.0, 9.0, 300, 100), 0.0, ready)
+        queue.offer(
+            Waiting(str(number), A, 0, 0.0, 1.0, 9.0, 9.0, 300, 100), 0.0, ready
+        )
     assert queue.take(0.0, ready) is not None
     assert queue.take(5.0, ready) is not None
     assert queue.take(9.0, ready) is None
--- a/tests/test_gateway_owner.py
+++ b/tests/test_gateway_owner.py
@@ -1,5 +1,6 @@
 """The owner's side of an engine: grants, leaving replicas, lost questions."""
 
+import time
 from dataclasses import replace
 
 import gevent
@@ -63,7 +64,8 @@
         "adapter": adapter,
         "rank": 1,
         "objective_s": 1.0,
-        "deadline_s": 5.0,
+        "patience_s": 5.0,
+        "deadline_s": 9.0,
         "prompt_tokens": 100,
         "output_tokens": 10,
     }
@@ -121,7 +123,7 @@
 def test_an_adapter_that_cannot_be_there_in_time_is_refused_at_once(
     owner: ReplicaOwner,
 ) -> None:
-    answer = owner.ask(ask("1", "a9", deadline_s=0.2), "h2")
+    answer = owner.ask(ask("1", "a9", patience_s=0.2), "h2")
     assert isinstance(answer, RequestTurnedAway)
     assert answer.cause == "no_place_in_time"
 
@@ -155,3 +157,13 @@
     owner.plan.resident[NAME] = 1
     owner.grant_ready()
     assert isinstance(second.get(timeout=5), Granted)
+
+
+def test_a_stream_may_run_longer_than_its_caller_waits_for_the_start(
+    owner: ReplicaOwner,
+) -> None:
+    """Regression: adapters of running streams were given up and blocked the engine."""
+    owner.ask(ask("1#1", patience_s=0.5, deadline_s=60.0), "h2")
+    owner.first_event("1#1")
+    assert not owner.queue.overdue(time.monotonic() + 5.0)
+    assert owner.queue.overdue(time.monotonic() + 70.0) == ["1#1"]
