--- a/src/filbertyard/gateway/state.py
+++ b/src/filbertyard/gateway/state.py
@@ -110,13 +110,23 @@
         return matters
 
     def remove(
-        self, feed: Feed, key: str, revision: int, now: float, source: str
+        self,
+        feed: Feed,
+        key: str,
+        revision: int,
+        now: float,
+        source: str,
+        *,
+        is_live: bool,
     ) -> bool:
-        """Take over a removal from the store or a peer; tell if it was news."""
+        """Take over a removal from the store or a peer; tell if it was news.
+
+        `is_live` tells that it was seen as it happened, not as a gap in a reading.
+        """
         if not feed.remove(key, revision):
             return False
         if feed is self.entries:
-            self.remove_replica(key, revision, now, source)
+            self.remove_replica(key, revision, now, source, is_live=is_live)
         elif feed is self.own:
             self.remove_own(key, now, source)
         return True
@@ -134,7 +144,7 @@
             self.put(feed, item, now, "store")
         for key, known in list(feed.items.items()):
             if key not in found and known.mod_revision <= revision:
-                self.remove(feed, key, revision, now, "store")
+                self.remove(feed, key, revision, now, "store", is_live=False)
 
     def put_operator(self, item: Item, now: float, source: str) -> None:
         """Take over a configuration or the announcement of a version."""
@@ -204,12 +214,14 @@
         )
         return True
 
-    def remove_replica(self, key: str, revision: int, now: float, source: str) -> None:
-        """Stop using a replica, or keep it for a moment after an outage."""
+    def remove_replica(
+        self, key: str, revision: int, now: float, source: str, *, is_live: bool
+    ) -> None:
+        """Stop using a replica, or keep one that may have lapsed in an outage."""
         name = key.removeprefix(self.entries.prefix)
         if name not in self.replicas:
             return
-        kept = now - self.store_disturbed_at < LAPSE_GRACE_S
+        kept = not is_live and now - self.store_disturbed_at < LAPSE_GRACE_S
         if kept:
             self.lapsed[name] = now + LAPSE_GRACE_S
         else:
--- a/src/filbertyard/gateway/sync.py
+++ b/src/filbertyard/gateway/sync.py
@@ -111,7 +111,9 @@
             if event.kind == "put":
                 if self.state.put(feed, item, now, "store"):
                     items.append([item.key, item.value, item.mod_revision])
-            elif self.state.remove(feed, item.key, item.mod_revision, now, "store"):
+            elif self.state.remove(
+                feed, item.key, item.mod_revision, now, "store", is_live=True
+            ):
                 removed.append([item.key, item.mod_revision])
         if items or removed:
             age_s = now - self.state.store_disturbed_at
@@ -184,7 +186,8 @@
         for key, value, revision in part.items:
             self.state.put(feed, Item(key, value, 0, revision), now, peer)
         for key, revision in part.removed:
-            self.state.remove(feed, key, revision, now, peer)
+            is_live = isinstance(part, FeedPush)
+            self.state.remove(feed, key, revision, now, peer, is_live=is_live)
 
     def take_push(self, peer: str, push: FeedPush) -> None:
         """Take over what a relay passed on."""
--- a/tests/test_gateway_sync.py
+++ b/tests/test_gateway_sync.py
@@ -1,10 +1,13 @@
 """How hosts learn from one another what the store does not tell them."""
 
+import json
+
 from result import Ok
 
 from filbertyard.gateway.links import FeedPart
 from filbertyard.gateway.relays import follows_store
 from filbertyard.gateway.relays import relays
+from filbertyard.gateway.state import GatewayState
 from filbertyard.gateway.state import create_gateway_state
 from filbertyard.gateway.sync import PEER_GRACE_S
 from filbertyard.gateway.sync import PeerSync
@@ -72,3 +75,28 @@
 
 def item(key: str, revision: int) -> Item:
     return Item(key, b"{}", 0, revision)
+
+
+def state_with_a_replica() -> GatewayState:
+    state = create_gateway_state(create_platform_wire())
+    entry = {"service": "s", "address": "10.0.0.1:1", "state": "ready"}
+    value = json.dumps(entry).encode()
+    state.put(state.entries, Item("servers/r1", value, 0, 5), 100.0, "store")
+    return state
+
+
+def test_a_replica_that_leaves_after_an_outage_is_left_at_once() -> None:
+    """Regression: its removal, seen live, was taken for a lapse (DRAIN by 0.2 s)."""
+    state = state_with_a_replica()
+    state.note_disturbed(100.0)
+    state.remove(state.entries, "servers/r1", 6, 101.0, "store", is_live=True)
+    assert not state.usable("s")
+
+
+def test_an_entry_that_lapsed_in_an_outage_is_kept_for_a_moment() -> None:
+    state = state_with_a_replica()
+    state.note_disturbed(100.0)
+    state.replace(state.entries, [], 6, 101.0)
+    assert state.usable("s")
+    state.expire_lapsed(104.0)
+    assert not state.usable("s")
