Take the bounds on callers from the configuration

Idle connections were closed after a fixed 14 s; callers use them for four fifths of the configured time, which other deployments set higher.

--- a/src/filbertyard/gateway/host.py
+++ b/src/filbertyard/gateway/host.py
@@ -63,6 +63,9 @@
 # Messages of one kind that a host sends to all others, a second.
 MESSAGES_PER_S = 200
 
+# Pause between two looks at the claims and the bounds on callers.
+OWNED_PAUSE_S = 0.1
+
 # A host that sent nothing for this long is left out of the answers where to connect.
 SILENT_S = 1.6
 
@@ -189,9 +192,7 @@
     def start(self) -> None:
         """Listen and start all tasks."""
         settings = self.settings
-        limits = CallerLimits(
-            connections=CALLER_CONNECTIONS, idle_s=14.0, first_request_s=14.0
-        )
+        limits = self.caller_limits()
         self.servers.append(create_caller_server(settings.callers, self.entry, limits))
         addresses = {settings.directory, settings.readiness, settings.metrics} - {""}
         for address in addresses:
@@ -213,6 +214,19 @@
             store=settings.key_value,
         )
 
+    def caller_limits(self) -> CallerLimits:
+        """Return the bounds on callers that the configuration sets."""
+        configuration = self.state.configuration
+        limits = configuration.limits if configuration is not None else None
+        if limits is None:
+            return CallerLimits(connections=CALLER_CONNECTIONS)
+        return CallerLimits(
+            connections=CALLER_CONNECTIONS,
+            idle_s=limits.idle_s,
+            first_request_s=limits.idle_s,
+            head_s=limits.head_s,
+        )
+
     # Other hosts.
 
     def peer_ids(self) -> set[str]:
@@ -325,7 +339,9 @@
     def run_owned(self) -> None:
         """Start and stop the owners of this host's claims, for ever."""
         while True:
-            gevent.sleep(0.1)
+            gevent.sleep(OWNED_PAUSE_S)
+            # Connections that open from now on keep the bounds of the configuration.
+            self.servers[0].limits = self.caller_limits()
             for replica in list(self.owned):
                 if replica not in self.tenure.claims or (
                     replica not in self.state.replicas
--- a/tests/test_gateway_path.py
+++ b/tests/test_gateway_path.py
@@ -309,6 +309,14 @@
     assert fleet.send("/extra/x", method="GET", body=b"").status == 200
 
 
+def test_bounds_on_callers_follow_the_configuration(fleet: GatewayFleet) -> None:
+    """Guards against idle connections closed before callers stop using them."""
+    value = configuration(3)
+    value["limits"]["idleTimeoutMs"] = 61000
+    fleet.store.write("op/config", value)
+    wait_until(lambda: all(h.servers[0].limits.idle_s == 61.0 for h in fleet.hosts))
+
+
 def test_a_host_without_a_configuration_says_so() -> None:
     fleet = GatewayFleet()
     fleet.store.start()
