--- a/src/filbertyard/gateway/entry.py
+++ b/src/filbertyard/gateway/entry.py
@@ -51,6 +51,9 @@
 # Connections to one replica; the replica's own bound is lower.
 REPLICA_CONNECTIONS = 1024
 
+# The load that a replica told in an answer counts for this long.
+REPORTED_LOAD_AGE_S = 0.5
+
 # Owners asked for one request before it is turned away.
 MAX_ASKS = 4
 
@@ -68,6 +71,9 @@
 # Told to callers where nothing better is known, in seconds.
 DEFAULT_RETRY_S = 0.5
 
+# A host that has just started reads the configuration within this time.
+UNCONFIGURED_RETRY_S = 1.0
+
 # A caller refused by a stopping host finds another one at once.
 STOPPING_RETRY_S = 0.05
 
@@ -80,7 +86,8 @@
 # Share of the route's time left for the answer that ends the request.
 END_MARGIN_S = 0.05
 
-MAX_HEAD_BYTES_READ = 65536
+# Bound on bodies while no configuration is known.
+DEFAULT_BODY_BYTES = 1 << 22
 
 REASONS = {status.value: status.phrase for status in HTTPStatus}
 
@@ -219,19 +226,19 @@
             return handler_aborted(handler)
         except TooLargeError as error:
             handler.close_after_response()
-            return self.refuse(start_response, 413, request_id, error.message)
+            return self.reject(start_response, 413, request_id, error.message)
         except SlowCallerError as error:
             handler.close_after_response()
-            return self.refuse(start_response, 408, request_id, error.message)
+            return self.reject(start_response, 408, request_id, error.message)
         except RequestError as error:
-            return self.refuse(start_response, 400, request_id, error.message)
+            return self.reject(start_response, 400, request_id, error.message)
         finally:
             self.open_requests -= 1
 
     def read_body(self, environ: dict[str, Any]) -> bytes:
         """Read the whole body within its bound; raise RequestError."""
         limits = self.state.configuration.limits if self.state.configuration else None
-        most = limits.body_bytes if limits is not None else 1 << 22
+        most = limits.body_bytes if limits is not None else DEFAULT_BODY_BYTES
         declared = environ.get("CONTENT_LENGTH")
         if declared and int(declared) > most:
             raise TooLargeError("body", f"{declared} bytes", f"at most {most}")
@@ -251,12 +258,16 @@
         """Route a request and deliver its answer."""
         configuration = self.state.configuration
         if not self.takes_requests:
-            return self.refuse(
+            return self.reject(
                 start_response, 503, request.id, "host stops", STOPPING_RETRY_S
             )
         if configuration is None:
-            return self.refuse(
-                start_response, 503, request.id, "no configuration yet", 1.0
+            return self.reject(
+                start_response,
+                503,
+                request.id,
+                "no configuration yet",
+                UNCONFIGURED_RETRY_S,
             )
         path = request.target.partition("?")[0]
         route = configuration.find_route(request.host, path)
@@ -484,7 +495,7 @@
         """Return the requests at a replica: its own report while fresh, or ours."""
         at, running = self.reported.get(replica, (0.0, 0))
         own = self.running[replica]
-        return max(own, running) if now - at < 0.5 else own
+        return max(own, running) if now - at < REPORTED_LOAD_AGE_S else own
 
     # One send.
 
@@ -731,6 +742,25 @@
         self.done(delivery, "broken")
         return handler_aborted(delivery.handler)
 
+    def reject(
+        self,
+        start_response: Callable[..., Any],
+        status: int,
+        request_id: str,
+        detail: str,
+        retry_after_s: float = 0.0,
+    ) -> list[bytes]:
+        """Log and send the rejection of a request that was not routed."""
+        log_event(
+            logger,
+            "request_rejected",
+            request=request_id,
+            status=status,
+            cause=detail,
+            retry_after_s=retry_after_s or None,
+        )
+        return self.refuse(start_response, status, request_id, detail, retry_after_s)
+
     def refuse(
         self,
         start_response: Callable[..., Any],
