--- a/tests/test_gateway_tenure.py
+++ b/tests/test_gateway_tenure.py
@@ -212,7 +212,7 @@
 
 
 def test_replicas_without_an_owner_are_shared_evenly() -> None:
-    """Load pattern: hosts that start together, each seeing the claims before its own."""
+    """Load pattern: hosts that start together; each sees the claims before its own."""
     nodes = [Node(f"h{number}") for number in range(6)]
     hosts = {node.name: node.record() for node in nodes}
     replicas = [f"r{number}" for number in range(20)]
