Give the messages of the gateway names of their own

Cause: the gateway's digest was registered under the name of the membership's message, so in one process with both, as in the test run, the older one could not be decoded. Ruled out: load, since the tests pass alone under load. Change: names with a prefix; a name that is registered twice is an error at import.

--- a/src/filbertyard/gateway/links.py
+++ b/src/filbertyard/gateway/links.py
@@ -10,7 +10,7 @@
 from ..messages import message
 
 
-@message("digest")
+@message("gateway_digest")
 @dataclass(slots=True)
 class Digest(Message):
     """Tell that a host lives and which revision of each feed it knows.
@@ -27,7 +27,7 @@
     revisions: dict[str, int]
 
 
-@message("fetch_feed")
+@message("gateway_fetch_feed")
 @dataclass(slots=True)
 class FetchFeed(Message):
     """Ask for the items of a feed that changed after a revision."""
@@ -36,7 +36,7 @@
     after: int
 
 
-@message("feed_part")
+@message("gateway_feed_part")
 @dataclass(slots=True)
 class FeedPart(Message):
     """Carry items as [key, value, revision] and removals as [key, revision].
@@ -49,7 +49,7 @@
     disturbed_s: float
 
 
-@message("feed_push")
+@message("gateway_feed_push")
 @dataclass(slots=True)
 class FeedPush(Message):
     """Pass changes of a feed on to the hosts of a zone; fields as in `FeedPart`."""
@@ -60,7 +60,7 @@
     disturbed_s: float
 
 
-@message("ask")
+@message("gateway_ask")
 @dataclass(slots=True)
 class Ask(Message):
     """Ask the owner of a replica whether a request may be sent there, and wait.
@@ -83,7 +83,7 @@
     is_missing: bool = False
 
 
-@message("granted")
+@message("gateway_granted")
 @dataclass(slots=True)
 class Granted(Message):
     """Allow a request to be sent now; `version` 0 leaves the version open.
@@ -97,7 +97,7 @@
     was_absent: bool = False
 
 
-@message("turned_away")
+@message("gateway_turned_away")
 @dataclass(slots=True)
 class RequestTurnedAway(Message):
     """Tell that a request cannot run on a replica in time."""
@@ -107,7 +107,7 @@
     retry_after_s: float
 
 
-@message("first_event")
+@message("gateway_first_event")
 @dataclass(slots=True)
 class FirstEvent(Message):
     """Tell that the engine answered a granted request."""
@@ -116,7 +116,7 @@
     request_id: str
 
 
-@message("finished")
+@message("gateway_finished")
 @dataclass(slots=True)
 class Finished(Message):
     """Tell the end of a granted request, or that a waiting one is given up.
@@ -129,7 +129,7 @@
     outcome: str
 
 
-@message("replica_load")
+@message("gateway_replica_load")
 @dataclass(slots=True)
 class ReplicaLoad(Message):
     """Publish the load of an owned replica; `resident` maps models to adapters.
--- a/src/filbertyard/messages.py
+++ b/src/filbertyard/messages.py
@@ -38,6 +38,8 @@
     """Register a data class as the message type `name`."""
 
     def register(cls: M) -> M:
+        if name in MESSAGE_TYPES:
+            raise ValueError(f"message name {name!r} is registered twice")
         fields = tuple(f.name for f in dataclasses.fields(cls))  # type: ignore[arg-type]
         MESSAGE_TYPES[name] = cls
         MESSAGE_NAMES[cls] = name
