--- a/src/filbertyard/gateway/owner.py
+++ b/src/filbertyard/gateway/owner.py
@@ -5,7 +5,6 @@
 import logging
 import random
 import time
-from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import field
@@ -133,7 +132,6 @@
         self.asked_at = float("-inf")
         self.ordered_at = float("-inf")
         self.model_ordered_at = float("-inf")
-        self.absent: Counter[AdapterName] = Counter()
         self.changed = Event()
         self.published_at = 0.0
         self.dirty = True
@@ -334,7 +332,6 @@
             log_event(logger, "adapter_absent", replica=self.replica.id, adapter=name)
             # The next report tells what the engine holds instead.
             self.reported_at = float("-inf")
-            self.absent[name] += 1
             self.plan.resident.pop(name, None)
             if not name.adapter:
                 self.plan.models.discard(name.model)
--- a/src/filbertyard/gateway/state.py
+++ b/src/filbertyard/gateway/state.py
@@ -82,7 +82,6 @@
         self.feeds = {feed.prefix: feed for feed in self.feed_list()}
         self.configuration: Configuration | None = None
         self.releases: dict[AdapterName, int] = {}
-        self.release_times: dict[AdapterName, float] = {}
         self.replicas: dict[str, Replica] = {}
         self.lapsed: dict[str, float] = {}
         self.hosts: dict[str, HostRecord] = {}
@@ -163,7 +162,6 @@
                 name, version = self.wire.read_release(item)
                 if version > self.releases.get(name, 0):
                     self.releases[name] = version
-                    self.release_times[name] = now
                     log_event(
                         logger,
                         "version_announced",
@@ -306,10 +304,6 @@
         elif key.startswith(OWNER_PREFIX):
             self.owners.pop(key.removeprefix(OWNER_PREFIX), None)
 
-    def release_age_s(self, name: AdapterName, now: float) -> float:
-        """Return how long ago the newest version of an adapter became known."""
-        return now - self.release_times.get(name, now)
-
     def usable(self, service: str) -> list[Replica]:
         """Return the replicas of a service that take new requests."""
         return [
