Spread requests over replicas and pass loads on through speakers of zones

All hosts took the replica with the least estimate until its next report, so a few engines had ten to eighteen waiting requests beside idle ones.

Change: the unseen requests of a report's age are spread as if they filled the cheapest replicas to one level, drawn by weighted rendezvous hashing. In fleets above 16 hosts four speakers a zone pass digests and loads on. The part of the time for reading follows the pauses of streams. A push that leaves out changes is noticed and the gap fetched (a host without an owner's record sent requests past its queue).

--- a/src/filbertyard/gateway/admission.py
+++ b/src/filbertyard/gateway/admission.py
@@ -23,8 +23,17 @@
 READ_FRACTION = 0.6
 
 # Part of the time in which prompts are given to an engine for reading: running streams
-# need the rest to generate.
-READ_DUTY = 0.7
+# need the rest to generate. It follows the longest pauses that streams showed, by
+# additive increase and multiplicative decrease, from its first value within its bounds.
+FIRST_READ_DUTY = 0.75
+LEAST_READ_DUTY = 0.6
+MOST_READ_DUTY = 0.9
+READ_DUTY_STEP = 0.0005
+READ_DUTY_CUT = 0.95
+
+# A stream whose longest pause came closer than this to the allowed one calls for less
+# reading.
+PAUSE_TARGET = 0.85
 
 # Reading given ahead where no pause is set, and the least, in seconds.
 DEFAULT_READ_S = 0.25
@@ -149,6 +158,8 @@
         self.started: dict[str, Started] = {}
         self.read_cost = ReadCost()
         self.run_s = FIRST_RUN_S
+        self.read_duty = FIRST_READ_DUTY
+        self.read_cut_at = float("-inf")
         self.starts = 0
 
     @property
@@ -233,7 +244,7 @@
             ahead = int(backlog_s / self.token_cost_s)
             self.started[item.id] = Started(item, now, ahead)
             own_s = item.prompt_tokens * self.token_cost_s
-            self.read_until = now + backlog_s + own_s / READ_DUTY
+            self.read_until = now + backlog_s + own_s / self.read_duty
             return item
         return None
 
@@ -247,9 +258,24 @@
         if tokens > 0:
             self.read_cost.observe(tokens, now - item.at)
 
-    def finish(self, request_id: str, now: float) -> Started | None:
-        """Free the slot of a started request."""
+    def note_pause(self, pause: float, began: float, now: float) -> None:
+        """Learn from the longest pause of a stream as a part of the allowed one.
+
+        Streams from before the last cut show what it has already answered.
+        """
+        if pause <= 0 or began < self.read_cut_at:
+            return
+        if pause <= PAUSE_TARGET:
+            self.read_duty = min(MOST_READ_DUTY, self.read_duty + READ_DUTY_STEP)
+        else:
+            self.read_duty = max(LEAST_READ_DUTY, self.read_duty * READ_DUTY_CUT)
+            self.read_cut_at = now
+
+    def finish(self, request_id: str, now: float, pause: float = 0.0) -> Started | None:
+        """Free the slot of a started request; `pause` as in `note_pause`."""
         item = self.started.pop(request_id, None)
+        if item is not None:
+            self.note_pause(pause, item.at, now)
         if item is not None and not item.is_reading:
             self.run_s += GAIN * (now - item.at - self.run_s)
         return item
--- a/src/filbertyard/gateway/directory.py
+++ b/src/filbertyard/gateway/directory.py
@@ -10,7 +10,8 @@
 from ..metrics import Metrics
 from .wire import Wire
 
-# Callers keep an answer where to connect for this long, in seconds.
+# Callers keep an answer where to connect for this long at most, in seconds: a host that
+# died is found in about as much time.
 ADDRESS_TTL_S = 2.0
 
 MAX_ADDRESSES = 64
@@ -33,9 +34,10 @@
 class DirectoryApplication:
     """WSGI application beside the one for requests."""
 
-    def __init__(self, host: DirectoryHost, wire: Wire) -> None:
+    def __init__(self, host: DirectoryHost, wire: Wire, longest_ttl_s: float) -> None:
         self.host = host
         self.wire = wire
+        self.ttl_s = min(ADDRESS_TTL_S, longest_ttl_s)
 
     def __call__(
         self, environ: dict[str, Any], start_response: Callable[..., Any]
@@ -46,7 +48,7 @@
             query = parse_qs(environ.get("QUERY_STRING", ""))
             zone = query.get("zone", [""])[0]
             addresses = self.host.caller_addresses(zone)[:MAX_ADDRESSES]
-            body = self.wire.addresses(addresses, ADDRESS_TTL_S)
+            body = self.wire.addresses(addresses, self.ttl_s)
             return answer(start_response, "200 OK", body, "application/json")
         if self.wire.is_readiness_query(path):
             ready = self.host.is_ready()
--- a/src/filbertyard/gateway/entry.py
+++ b/src/filbertyard/gateway/entry.py
@@ -33,6 +33,7 @@
 from .placement import PlainCandidate
 from .placement import choose
 from .placement import choose_plain
+from .placement import estimate_s
 from .repeats import RepeatBudget
 from .state import GatewayState
 from .types import AdapterName
@@ -120,11 +121,14 @@
     last_event: str = ""
     first_event_at: float = 0.0
     last_part_at: float = 0.0
+    longest_pause_s: float = 0.0
     bytes_sent: int = 0
     sends: int = 0
     asks: int = 0
     waited_s: float = 0.0
     was_absent: bool = False
+    expected_s: float = 0.0
+    load_age_s: float = 0.0
     replicas: list[str] = field(default_factory=list)
     causes: list[str] = field(default_factory=list)
 
@@ -170,8 +174,10 @@
     def first_event(self, replica: str, request_id: str) -> None:
         """Tell the owner that the engine answered."""
 
-    def finished(self, replica: str, request_id: str, outcome: str) -> None:
-        """Tell the owner the end of a request."""
+    def finished(
+        self, replica: str, request_id: str, outcome: str, pause: float = 0.0
+    ) -> None:
+        """Tell the owner the end of a request and its longest pause."""
 
     def live_hosts(self) -> int:
         """Return how many hosts share the budget of repeats."""
@@ -314,10 +320,12 @@
                 for candidate in self.owners.candidates(service, name)
                 if not excluded[candidate.replica]
             ]
-            candidate = choose(str(name), found)
+            candidate = choose(str(name), found, request.id)
             if candidate is None or delivery.asks >= MAX_ASKS:
                 break
             delivery.asks += 1
+            delivery.expected_s = estimate_s(candidate)
+            delivery.load_age_s = candidate.age_s
             granted = self.ask(delivery, candidate, name, is_missing)
             if isinstance(granted, RequestTurnedAway) and granted.cause in NO_OWNER:
                 delivery.causes.append(granted.cause)
@@ -404,6 +412,7 @@
     ) -> Attempt:
         """Send a granted request and tell the owner its end."""
         outcome = "unknown"
+        delivery.longest_pause_s = 0.0
         try:
             route = delivery.route
             more = (
@@ -420,7 +429,9 @@
                 outcome = "unreachable"
             return attempt
         finally:
-            self.owners.finished(replica.id, delivery.grant_id(), outcome)
+            gap_s = delivery.route.gap_s
+            pause = delivery.longest_pause_s / gap_s if gap_s > 0 else 0.0
+            self.owners.finished(replica.id, delivery.grant_id(), outcome, pause)
 
     def may_repeat(self, delivery: Delivery, service: str) -> bool:
         """Take one repeat of the budget."""
@@ -643,15 +654,23 @@
         response.deadline = delivery.end()
         headers = self.wire.response_headers(response.headers)
         rest = b""
+        # Time in which the caller did not read is no pause of the engine's.
+        awaited_since = 0.0
         for part in response.parts():
-            if delivery.write is None:
-                delivery.first_event_at = time.monotonic()
+            now = delivery.last_part_at = time.monotonic()
+            if awaited_since:
+                pause_s = now - awaited_since
+                delivery.longest_pause_s = max(delivery.longest_pause_s, pause_s)
+            else:
                 self.owners.first_event(replica.id, delivery.grant_id())
+            if delivery.write is None:
+                delivery.first_event_at = now
                 self.begin(delivery, response.status, headers)
-            delivery.last_part_at = time.monotonic()
             if not delivery.route.is_resumable:
                 self.emit(delivery, part)
+                awaited_since = time.monotonic()
                 continue
+            awaited_since = now
             # Only whole events are passed on where another replica may go on.
             rest += part
             end = rest.rfind(b"\n\n") + 2
@@ -707,7 +726,10 @@
             first_s=first_s,
             total_s=now - request.arrived,
             objective_s=route.objective_s,
+            expected_s=delivery.expected_s or None,
+            load_age_s=delivery.load_age_s or None,
             waited_s=delivery.waited_s,
+            longest_pause_s=delivery.longest_pause_s or None,
             absent=delivery.was_absent or None,
             asks=delivery.asks or None,
             sends=delivery.sends,
--- a/src/filbertyard/gateway/links.py
+++ b/src/filbertyard/gateway/links.py
@@ -27,6 +27,22 @@
     revisions: dict[str, int]
 
 
+@message("gateway_roster")
+@dataclass(slots=True)
+class Roster(Message):
+    """Tell the hosts that a speaker knows, with the ages of their signs of life.
+
+    A row has the fields of a `Digest` but for the revisions, which are the speaker's.
+    `rows` is empty while the list with this `number` is unchanged; `ages` has a byte a
+    row, in tenths of a second, 255 for a silent host.
+    """
+
+    number: int
+    rows: list[list[Any]]
+    ages: bytes
+    revisions: dict[str, int]
+
+
 @message("gateway_fetch_feed")
 @dataclass(slots=True)
 class FetchFeed(Message):
@@ -52,9 +68,13 @@
 @message("gateway_feed_push")
 @dataclass(slots=True)
 class FeedPush(Message):
-    """Pass changes of a feed on to the hosts of a zone; fields as in `FeedPart`."""
+    """Pass changes of a feed on to the hosts of a zone; fields as in `FeedPart`.
+
+    The changes follow the revision `since`; a host that is behind it missed some.
+    """
 
     prefix: str
+    since: int
     items: list[list[Any]]
     removed: list[list[Any]]
     disturbed_s: float
@@ -121,12 +141,14 @@
 class Finished(Message):
     """Tell the end of a granted request, or that a waiting one is given up.
 
-    `outcome` is `done`, `not_run`, `absent`, `failed` or `unreachable`.
+    `outcome` is `done`, `not_run`, `absent`, `failed` or `unreachable`. `pause` is the
+    longest pause of the stream as a part of the allowed one, 0 if it showed none.
     """
 
     replica: str
     request_id: str
     outcome: str
+    pause: float = 0.0
 
 
 @message("gateway_replica_load")
@@ -135,11 +157,13 @@
     """Publish the load of an owned replica; `resident` maps models to adapters.
 
     `load_wait_s` is the time until a missing adapter could be there, negative if the
-    owner gives no orders now. `loading` adds the rest of each load in seconds.
+    owner gives no orders now. `loading` adds the rest of each load in seconds. The load
+    with the highest `fence`, then `number`, is the newest.
     """
 
     replica: str
     fence: int
+    number: int
     wait_s: float
     token_cost_s: float
     running: int
@@ -147,3 +171,11 @@
     failure_rate: float
     resident: dict[str, list[str]]
     loading: list[list[Any]] = field(default_factory=list)
+
+
+@message("gateway_load_batch")
+@dataclass(slots=True)
+class LoadBatch(Message):
+    """Pass on published loads, one a row; see `loads.pack`."""
+
+    rows: list[list[Any]]
--- /dev/null
+++ b/src/filbertyard/gateway/loads.py
@@ -0,0 +1,248 @@
+"""Published loads of replicas: owners tell, speakers pass on, hosts choose."""
+
+from __future__ import annotations
+
+import math
+import time
+from dataclasses import dataclass
+from dataclasses import field
+from dataclasses import replace
+from typing import Any
+
+import gevent
+
+from ..peers import PeerNetwork
+from .fleet import Fleet
+from .health import HealthTable
+from .links import LoadBatch
+from .links import ReplicaLoad
+from .placement import Candidate
+from .state import GatewayState
+from .types import AdapterName
+from .types import Replica
+
+# Pause between two publications of a replica's load.
+PUBLISH_PAUSE_S = 0.1
+
+# Pause between two batches of loads that a speaker passes on. Every host hears two
+# speakers, so that it gets a batch twice as often.
+RELAY_PAUSE_S = 0.2
+
+# A speaker passes on which adapters a replica holds at each change, and this often.
+RESIDENT_PAUSE_S = 1.0
+
+# A published load older than this is not used.
+LOAD_AGE_S = 3.0
+
+
+@dataclass(slots=True)
+class View:
+    """The last published load of a replica and what was sent there since."""
+
+    load: ReplicaLoad
+    at: float
+    resident: set[AdapterName]
+    loading: dict[AdapterName, float]
+    asked_tokens: int = 0
+
+
+@dataclass(slots=True)
+class Relayed:
+    """What a speaker has to pass on of one replica; times are monotonic."""
+
+    load: ReplicaLoad
+    at: float
+    is_fresh: bool = True
+    resident: dict[str, list[str]] = field(default_factory=dict)
+    resident_at: float = -math.inf
+
+
+class LoadTable:
+    """The loads of all replicas as this host knows them."""
+
+    def __init__(self, fleet: Fleet, peers: PeerNetwork, state: GatewayState) -> None:
+        self.fleet = fleet
+        self.state = state
+        self.views: dict[str, View] = {}
+        self.relayed: dict[str, Relayed] = {}
+        peers.handle(ReplicaLoad, self.take_load)
+        peers.handle(LoadBatch, self.take_batch)
+
+    def publish_pause_s(self) -> float:
+        """Return the pause between two publications of one replica's load."""
+        return self.fleet.pause_s(PUBLISH_PAUSE_S)
+
+    def publish(self, load: ReplicaLoad) -> None:
+        """Tell all hosts the load of an owned replica."""
+        self.take_load(self.fleet.id, load)
+        self.fleet.tell_all(load)
+
+    def take_load(self, peer: str, load: ReplicaLoad) -> None:
+        """Take over a load that an owner published."""
+        now = time.monotonic()
+        if not self.note(load, now):
+            return
+        known = self.relayed.get(load.replica)
+        if known is None:
+            self.relayed[load.replica] = Relayed(load, now)
+        else:
+            known.load, known.at, known.is_fresh = load, now, True
+
+    def note(self, load: ReplicaLoad, at: float) -> bool:
+        """Take over a load unless a newer one is known; tell if it was newer."""
+        view = self.views.get(load.replica)
+        if view is not None and (load.fence, load.number) <= (
+            view.load.fence,
+            view.load.number,
+        ):
+            return False
+        self.views[load.replica] = View(
+            load,
+            at,
+            {
+                AdapterName(model, adapter)
+                for model, adapters in load.resident.items()
+                for adapter in adapters
+            },
+            {AdapterName(model, name): left for model, name, left in load.loading},
+        )
+        return True
+
+    # Relaying.
+
+    def run(self) -> None:
+        """Pass published loads on to the hosts that this one speaks for, for ever."""
+        while True:
+            gevent.sleep(RELAY_PAUSE_S)
+            if self.fleet.is_speaker():
+                rows = self.next_batch()
+                if rows:
+                    self.fleet.pass_on(LoadBatch(rows))
+
+    def next_batch(self) -> list[list[Any]]:
+        """Return the loads that changed since the last batch."""
+        now = time.monotonic()
+        rows = []
+        for replica, item in list(self.relayed.items()):
+            if replica not in self.state.replicas:
+                del self.relayed[replica]
+            if not item.is_fresh:
+                continue
+            item.is_fresh = False
+            resident: dict[str, list[str]] | None = None
+            is_due = now - item.resident_at >= RESIDENT_PAUSE_S
+            if is_due or item.resident != item.load.resident:
+                resident = item.resident = item.load.resident
+                item.resident_at = now
+            rows.append(pack(item.load, resident, now - item.at))
+        return rows
+
+    def take_batch(self, peer: str, batch: LoadBatch) -> None:
+        """Take over the loads that a speaker passes on."""
+        now = time.monotonic()
+        for row in batch.rows:
+            load, resident, age_s = unpack(row)
+            if resident is None:
+                view = self.views.get(load.replica)
+                if view is None:
+                    # The speaker tells what it holds within its pause.
+                    continue
+                resident = view.load.resident
+            self.note(replace(load, resident=resident), now - age_s)
+
+    # Choosing.
+
+    def candidates(
+        self, service: str, name: AdapterName, health: HealthTable
+    ) -> list[Candidate]:
+        """Return the replicas of a service as this host sees them."""
+        now = time.monotonic()
+        return [
+            self.candidate(replica, name, health.failure_rate(replica.id, now), now)
+            for replica in self.state.usable(service)
+            if not health.is_paused(replica.id, now)
+        ]
+
+    def candidate(
+        self, replica: Replica, name: AdapterName, own_rate: float, now: float
+    ) -> Candidate:
+        """Return one replica as this host sees it."""
+        view = self.views.get(replica.id)
+        if view is None or now - view.at > LOAD_AGE_S:
+            is_resident = name in replica.adapters or (
+                not name.adapter and name.model in replica.models
+            )
+            if view is not None:
+                is_resident = name in view.resident
+            return Candidate(
+                replica.id, 0.0, is_resident, -1.0, math.inf, False, own_rate
+            )
+        load = view.load
+        return Candidate(
+            replica=replica.id,
+            wait_s=load.wait_s + view.asked_tokens * load.token_cost_s,
+            is_resident=name in view.resident,
+            load_left_s=view.loading.get(name, -1.0),
+            load_wait_s=math.inf if load.load_wait_s < 0 else load.load_wait_s,
+            is_owner_known=True,
+            failure_rate=max(own_rate, min(1.0, load.failure_rate)),
+            age_s=now - view.at,
+        )
+
+    def note_asked(self, replica: str, prompt_tokens: int) -> None:
+        """Count a question that the published load does not show yet."""
+        view = self.views.get(replica)
+        if view is not None:
+            view.asked_tokens += prompt_tokens
+
+
+def pack(
+    load: ReplicaLoad, resident: dict[str, list[str]] | None, age_s: float
+) -> list[Any]:
+    """Return a load as it stands in a batch, in whole units that take few bytes."""
+    loading: dict[str, list[str | int]] = {}
+    for model, adapter, left_s in load.loading:
+        loading.setdefault(model, []).extend((adapter, to_ms(left_s)))
+    return [
+        load.replica,
+        load.fence,
+        load.number,
+        to_ms(load.wait_s),
+        round(load.token_cost_s * 1e9),
+        load.running,
+        to_ms(load.load_wait_s),
+        round(load.failure_rate * 1000),
+        loading,
+        resident,
+        to_ms(age_s),
+    ]
+
+
+def unpack(
+    row: list[Any],
+) -> tuple[ReplicaLoad, dict[str, list[str]] | None, float]:
+    """Return a load of a batch, what the replica holds if it is told, and its age."""
+    replica, fence, number, *numbers, loading, resident, age_ms = row
+    wait_ms, token_cost_ns, running, load_wait_ms, failures = numbers
+    load = ReplicaLoad(
+        replica=replica,
+        fence=fence,
+        number=number,
+        wait_s=wait_ms / 1000,
+        token_cost_s=token_cost_ns / 1e9,
+        running=running,
+        load_wait_s=load_wait_ms / 1000,
+        failure_rate=failures / 1000,
+        resident={},
+        loading=[
+            [model, adapter, left_ms / 1000]
+            for model, values in loading.items()
+            for adapter, left_ms in zip(values[::2], values[1::2], strict=True)
+        ],
+    )
+    return load, resident, age_ms / 1000
+
+
+def to_ms(seconds: float) -> int:
+    """Return whole milliseconds."""
+    return round(seconds * 1000)
--- a/src/filbertyard/gateway/owner.py
+++ b/src/filbertyard/gateway/owner.py
@@ -67,6 +67,9 @@
 # Longest pause between two looks at the waiting requests.
 TICK_S = 0.25
 
+# What an owner believes of its engine is logged this often while requests run.
+STATE_LOG_S = 5.0
+
 # A load of a base model is not ordered again within this time.
 MODEL_RETRY_S = 5.0
 
@@ -134,6 +137,7 @@
         self.model_ordered_at = float("-inf")
         self.changed = Event()
         self.published_at = 0.0
+        self.logged_at = float("-inf")
         self.dirty = True
         self.greenlets: list[gevent.Greenlet[..., None]] = []
 
@@ -294,7 +298,7 @@
         self.dirty = True
         self.grant(now)
 
-    def finish(self, request_id: str, outcome: str) -> None:
+    def finish(self, request_id: str, outcome: str, pause: float = 0.0) -> None:
         """Take over the end of a request."""
         now = time.monotonic()
         pending = self.pending.get(request_id)
@@ -302,7 +306,7 @@
             self.queue.withdraw(request_id)
             pending.answer.set(RequestTurnedAway(request_id, "withdrawn", 0.0))
             return
-        started = self.queue.finish(request_id, now)
+        started = self.queue.finish(request_id, now, pause)
         self.hosts.pop(request_id, None)
         if started is None:
             return
@@ -359,6 +363,30 @@
                 self.published_at = now
                 self.dirty = False
                 self.publish(self.load(now))
+            if self.queue.started and now - self.logged_at >= STATE_LOG_S:
+                self.logged_at = now
+                self.log_state(now)
+
+    def log_state(self, now: float) -> None:
+        """Log the beliefs that decide which requests start, wait or are turned away."""
+        queue, plan = self.queue, self.plan
+        log_event(
+            logger,
+            "engine_state",
+            replica=self.replica.id,
+            waiting=len(queue.waiting),
+            started=len(queue.started),
+            wait_s=queue.wait_s(now, plan.is_held),
+            token_cost_s=queue.token_cost_s,
+            read_duty=queue.read_duty,
+            run_s=queue.run_s,
+            resident=len(plan.resident),
+            in_use=len(plan.in_use),
+            loading=len(plan.loading),
+            fetch_s=plan.fetch_s,
+            pace_s=plan.pace_s,
+            report_age_s=now - self.reported_at,
+        )
 
     def load(self, now: float) -> ReplicaLoad:
         """Return the load of the replica as the other hosts need it."""
@@ -370,6 +398,7 @@
         return ReplicaLoad(
             replica=self.replica.id,
             fence=self.fence,
+            number=int(now * 1000),
             wait_s=self.queue.wait_s(now, plan.is_held),
             token_cost_s=self.queue.token_cost_s,
             running=len(self.queue.started),
--- a/src/filbertyard/gateway/placement.py
+++ b/src/filbertyard/gateway/placement.py
@@ -1,13 +1,14 @@
 """Where a request goes: one estimate of the time to its first event per replica.
 
 Load patterns: popularity is skewed and shifts, one request in six meets an adapter
-that is nowhere, and many hosts choose at once from reports that lag.
+that is nowhere, and many hosts choose at once from reports that lag (herds).
 """
 
 from __future__ import annotations
 
 import math
 from collections.abc import Iterable
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 import xxhash
@@ -15,12 +16,13 @@
 # Seconds of waiting that a certain failure is worth.
 FAILURE_COST_S = 2.0
 
-# Seconds that one step down in the preference order of an adapter costs. Hosts that
-# decide at the same time agree on the same replicas by this.
-PREFERENCE_S = 0.03
+# Reading that requests of other hosts, unseen until the next report, bring to a replica
+# in a second: the part of its time that an engine is given for reading.
+UNSEEN_DUTY = 0.7
 
-# Beyond this place the preference does not count further.
-PREFERENCE_DEPTH = 5
+# Differences between estimates below this do not count where an adapter is missing, so
+# that hosts with slightly different views load it on the same replica.
+AGREEMENT_S = 0.03
 
 # A replica whose owner did not report for this long is used last.
 UNKNOWN_OWNER_S = 0.3
@@ -31,7 +33,8 @@
     """One replica as this host sees it; times are in seconds.
 
     `load_left_s` is the rest of a fetch under way, negative if there is none;
-    `load_wait_s` the time until an adapter could be there, infinite if never.
+    `load_wait_s` the time until an adapter could be there, infinite if never; `age_s`
+    the age of the report behind all this.
     """
 
     replica: str
@@ -41,37 +44,84 @@
     load_wait_s: float
     is_owner_known: bool
     failure_rate: float
+    age_s: float = 0.0
 
 
-def preference(adapter: str, replica: str) -> int:
-    """Return the score of a replica for an adapter (rendezvous hashing)."""
-    return int(xxhash.xxh64_intdigest(f"{adapter}|{replica}"))
-
-
-def estimate_s(candidate: Candidate, place: int) -> float:
+def estimate_s(candidate: Candidate) -> float:
     """Return the estimated time to the first event; infinite if it cannot run."""
     cost = candidate.wait_s + FAILURE_COST_S * candidate.failure_rate
     if not candidate.is_owner_known:
         cost += UNKNOWN_OWNER_S
     if candidate.is_resident:
         return cost
-    preferred = PREFERENCE_S * min(place, PREFERENCE_DEPTH)
     if candidate.load_left_s >= 0:
-        return max(cost, candidate.load_left_s) + preferred
-    return cost + candidate.load_wait_s + preferred
+        return max(cost, candidate.load_left_s)
+    return cost + candidate.load_wait_s
+
+
+def fill_level_s(costs: Iterable[float], volume_s: float) -> float:
+    """Return the cost to which work of `volume_s` fills up the cheapest replicas."""
+    level = math.inf
+    total = 0.0
+    for count, cost in enumerate(sorted(costs), start=1):
+        if cost >= level:
+            break
+        total += cost
+        level = (total + volume_s) / count
+    return level
+
+
+def draw(key: str, replica: str) -> float:
+    """Return a number between 0 and 1 that depends on the key and the replica only."""
+    return float((xxhash.xxh64_intdigest(f"{key}|{replica}") + 1) / (2**64 + 2))
+
 
+def pick(costs: Mapping[Candidate, float], level_s: float, key: str) -> Candidate:
+    """Return a candidate, drawn in proportion to the room below a level of cost.
 
-def choose(adapter: str, candidates: Iterable[Candidate]) -> Candidate | None:
-    """Return the replica with the least estimate, None if none can run the request."""
-    ordered = sorted(
-        candidates, key=lambda item: preference(adapter, item.replica), reverse=True
+    Weighted rendezvous hashing: the same key gives the same choice on all hosts, as far
+    as they see the same room.
+    """
+    return max(
+        costs,
+        key=lambda item: (
+            (level_s - costs[item]) / -math.log(draw(key, item.replica)),
+            draw(key, item.replica),
+        ),
     )
+
+
+def choose(
+    adapter: str, candidates: Iterable[Candidate], request: str = ""
+) -> Candidate | None:
+    """Return where a request should go, None if no replica can run it.
+
+    If all hosts took the replica with the least estimate, they would all take the same
+    one until its next report. So the requests that the reports do not show yet are
+    spread as if they filled up the cheapest replicas to one level. Requests for an
+    adapter that some replicas hold are drawn among these one by one; a missing adapter
+    is drawn once, since every further replica would have to load it.
+    """
     best: Candidate | None = None
     least = math.inf
-    for place, candidate in enumerate(ordered):
-        cost = estimate_s(candidate, place)
-        if cost < least:
-            best, least = candidate, cost
+    holders: dict[Candidate, float] = {}
+    others: dict[Candidate, float] = {}
+    for item in candidates:
+        cost = estimate_s(item)
+        if not math.isinf(cost):
+            is_there = item.is_resident or item.load_left_s >= 0
+            (holders if is_there else others)[item] = cost
+    for costs, floor_s, key in (
+        (holders, 0.0, request),
+        (others, AGREEMENT_S, adapter),
+    ):
+        if not costs:
+            continue
+        age_s = sum(item.age_s for item in costs) / len(costs)
+        volume_s = len(costs) * max(floor_s, UNSEEN_DUTY * age_s)
+        level_s = fill_level_s(costs.values(), volume_s)
+        if level_s < least:
+            best, least = pick(costs, level_s, key), level_s
     return best
 
 
--- a/src/filbertyard/gateway/settings.py
+++ b/src/filbertyard/gateway/settings.py
@@ -18,7 +18,6 @@
     drain_s: float
     grace_s: float
     order_gap_s: float
-    version_s: float
     repeat_ratio: float
     repeat_window_s: float
     repeat_slack: float
--- a/src/filbertyard/gateway/sync.py
+++ b/src/filbertyard/gateway/sync.py
@@ -30,9 +30,9 @@
 # store forgets its history.
 WATCH_WAIT_S = 10.0
 
-# Pause after each answer of a watch. Replicas write often; their changes are taken
-# together. The bound for a leaving replica is two seconds.
-ENTRY_PAUSE_S = 0.4
+# Pause after each answer of a watch, so that changes are taken together. Replicas write
+# often; their entries may be late by this part of the bound for a leaving replica.
+ENTRY_PAUSE_PART = 0.2
 OPERATOR_PAUSE_S = 0.05
 OWN_PAUSE_S = 0.2
 
@@ -68,13 +68,16 @@
         self.pause_s = pause_s
         self.is_connected = False
         self.read_once = False
+        self.is_resting = False
 
     def run(self) -> None:
         """Follow the feed while this host should, for ever."""
         while True:
             if self.read_once and not self.follows():
+                self.note_resting(True)
                 gevent.sleep(REST_PAUSE_S)
                 continue
+            self.note_resting(False)
             try:
                 self.follow()
             except HistoryLostError as error:
@@ -105,6 +108,7 @@
         """Take over changes and pass on those that other hosts need."""
         now = time.monotonic()
         feed = self.feed
+        since = feed.revision
         items, removed = [], []
         for event in events:
             item = event.item
@@ -117,7 +121,14 @@
                 removed.append([item.key, item.mod_revision])
         if items or removed:
             age_s = now - self.state.store_disturbed_at
-            self.push(FeedPush(feed.prefix, items, removed, age_s))
+            self.push(FeedPush(feed.prefix, since, items, removed, age_s))
+
+    def note_resting(self, is_resting: bool) -> None:
+        """Log whether this host follows the feed itself or hears of it from relays."""
+        if is_resting != self.is_resting:
+            self.is_resting = is_resting
+            event = "feed_left_to_relays" if is_resting else "feed_followed"
+            log_event(logger, event, feed=self.feed.prefix)
 
     def note_connected(self) -> None:
         """Note that the store answered."""
@@ -192,8 +203,25 @@
     def take_push(self, peer: str, push: FeedPush) -> None:
         """Take over what a relay passed on."""
         feed = self.state.feeds.get(push.prefix)
-        if feed is not None:
-            self.take(peer, feed, push)
+        if feed is None:
+            return
+        known = feed.revision
+        self.take(peer, feed, push)
+        if push.since > known:
+            # Changes between the two revisions never came, and would be taken for
+            # known if the revision moved past them.
+            feed.revision = known
+            log_event(
+                logger,
+                "feed_gap",
+                feed=feed.prefix,
+                known=known,
+                since=push.since,
+                source=peer,
+            )
+            if feed.prefix not in self.fetching:
+                self.fetching.add(feed.prefix)
+                self.spawn(self.fetch, peer, feed)
 
     def answer_fetch(self, peer: str, request: FetchFeed) -> FeedPart:
         """Return what a peer misses of a feed."""
--- a/src/filbertyard/platform/settings.py
+++ b/src/filbertyard/platform/settings.py
@@ -40,7 +40,6 @@
     grace_s: float = Field(alias="graceS", ge=0)
     # The lease here is the spacing between orders of two holders, not a store lease.
     lease_ms: float = Field(alias="leaseMs", ge=0)
-    version_ms: float = Field(default=5000.0, ge=0)
     retry_ratio: float = Field(alias="retryBudgetRatio", ge=0)
     retry_window_s: float = Field(alias="budgetWindowS", gt=0)
     retry_slack: float = Field(alias="budgetSlack", ge=0)
@@ -102,7 +101,6 @@
             drain_s=bounds.drain_ms / 1000,
             grace_s=bounds.grace_s,
             order_gap_s=bounds.lease_ms / 1000,
-            version_s=bounds.version_ms / 1000,
             repeat_ratio=bounds.retry_ratio,
             repeat_window_s=bounds.retry_window_s,
             repeat_slack=bounds.retry_slack,
--- a/tests/gatewayfleet.py
+++ b/tests/gatewayfleet.py
@@ -26,7 +26,6 @@
     drain_s=2.0,
     grace_s=8.0,
     order_gap_s=3.0,
-    version_s=5.0,
     repeat_ratio=0.2,
     repeat_window_s=10.0,
     repeat_slack=50.0,
@@ -175,11 +174,11 @@
         )
         wait_until(
             lambda: (
-                all(set(host.views) >= engines for host in self.hosts)
+                all(set(host.loads.views) >= engines for host in self.hosts)
                 and all(
                     view.load.load_wait_s >= 0
                     for host in self.hosts
-                    for view in host.views.values()
+                    for view in host.loads.views.values()
                 )
             )
         )
--- /dev/null
+++ b/tests/test_gateway_fleet.py
@@ -0,0 +1,269 @@
+"""Which hosts hear of one another, and how published loads travel."""
+
+import time
+
+import pytest
+
+from filbertyard.gateway import fleet as fleets
+from filbertyard.gateway.fleet import SILENT_S
+from filbertyard.gateway.fleet import Fleet
+from filbertyard.gateway.links import Digest
+from filbertyard.gateway.links import LoadBatch
+from filbertyard.gateway.links import ReplicaLoad
+from filbertyard.gateway.links import Roster
+from filbertyard.gateway.loads import LoadTable
+from filbertyard.gateway.state import create_gateway_state
+from filbertyard.gateway.types import HostRecord
+from filbertyard.messages import Message
+from filbertyard.platform.exchange import create_platform_wire
+
+ZONES = ("a", "b", "c")
+
+
+class Clock:
+    """The time of all hosts of a test."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.now = 1000.0
+        monkeypatch.setattr(time, "monotonic", lambda: self.now)
+
+
+class Post:
+    """Carry messages between hosts at once, and count them."""
+
+    def __init__(self) -> None:
+        self.handlers: dict[str, dict[type, object]] = {}
+        self.dead: set[str] = set()
+        self.sent = 0
+
+    def peers(self, host: str) -> "PostPeers":
+        return PostPeers(self, host)
+
+
+class PostPeers:
+    """The connections of one host."""
+
+    def __init__(self, post: Post, host: str) -> None:
+        self.post = post
+        self.host = host
+        self.handlers = post.handlers.setdefault(host, {})
+
+    def handle(self, cls: type, handler: object) -> None:
+        self.handlers[cls] = handler
+
+    def tell(self, host: str, message: Message) -> None:
+        self.post.sent += 1
+        if {host, self.host} & self.post.dead or host not in self.post.handlers:
+            return
+        self.post.handlers[host][type(message)](self.host, message)
+
+    def drop(self, host: str) -> None:
+        pass
+
+
+class Host:
+    """What one host knows of the others and of loads."""
+
+    def __init__(self, post: Post, number: int) -> None:
+        self.id = f"h{number:02}"
+        self.zone = ZONES[number % 3]
+        self.instance = "1"
+        self.is_leaving = False
+        self.restarted: list[str] = []
+        self.state = create_gateway_state(create_platform_wire())
+        peers = post.peers(self.id)
+        self.fleet = Fleet(
+            peers=peers,
+            state=self.state,
+            zone=self.zone,
+            seeds=(),
+            describe=self.digest,
+            note_revisions=lambda peer, revisions, now: None,
+            note_restarted=self.restarted.append,
+        )
+        self.fleet.tell = lambda hosts, message: [
+            peers.tell(host, message) for host in list(hosts)
+        ]
+        self.loads = LoadTable(self.fleet, peers, self.state)
+
+    def digest(self) -> Digest:
+        return Digest(
+            self.id,
+            self.instance,
+            f"{self.id}:1",
+            self.zone,
+            self.is_leaving,
+            True,
+            {},
+        )
+
+    def turn(self) -> None:
+        """Do what the host's task does in one turn."""
+        self.fleet.tell_all(self.digest())
+        followers = self.fleet.followers()
+        if followers:
+            self.fleet.tell(followers, self.fleet.roster(followers))
+
+
+class Town:
+    """A fleet whose hosts all take a turn each half second."""
+
+    def __init__(self, count: int, clock: Clock) -> None:
+        self.clock = clock
+        self.post = Post()
+        self.hosts = [Host(self.post, number) for number in range(count)]
+        for host in self.hosts:
+            for other in self.hosts:
+                host.state.hosts[other.id] = HostRecord(
+                    other.id, other.instance, "", other.zone, False
+                )
+
+    def run(self, seconds: float) -> None:
+        end = self.clock.now + seconds
+        while self.clock.now < end:
+            self.clock.now += 0.5
+            for host in self.hosts:
+                if host.id not in self.post.dead:
+                    host.turn()
+
+    def alive(self) -> list[Host]:
+        return [host for host in self.hosts if host.id not in self.post.dead]
+
+
+@pytest.fixture
+def clock(monkeypatch: pytest.MonkeyPatch) -> Clock:
+    return Clock(monkeypatch)
+
+
+@pytest.mark.parametrize("count", [6, 79])
+def test_every_host_hears_of_every_other(count: int, clock: Clock) -> None:
+    town = Town(count, clock)
+    town.run(6.0)
+    for host in town.hosts:
+        assert len(host.fleet.reachable()) == count - 1
+
+
+def test_messages_of_a_large_fleet_grow_with_its_size_only(clock: Clock) -> None:
+    """Load pattern: 79 hosts, each telling 78 others twice a second."""
+    town = Town(79, clock)
+    town.run(6.0)
+    town.post.sent = 0
+    town.run(1.0)
+    assert town.post.sent < 79 * 78 * 2 / 4
+
+
+@pytest.mark.parametrize("count", [6, 79])
+def test_a_dead_host_is_left_out_in_time(count: int, clock: Clock) -> None:
+    town = Town(count, clock)
+    town.run(6.0)
+    town.post.dead = {"h04"}
+    town.run(SILENT_S + 0.5)
+    for host in town.alive():
+        assert host.fleet.reachable() == {h.id for h in town.alive()} - {host.id}
+        assert "h04:1" not in host.fleet.caller_addresses()
+
+
+def test_the_loss_of_all_speakers_leaves_no_host_unheard(clock: Clock) -> None:
+    town = Town(79, clock)
+    town.run(6.0)
+    town.post.dead = set(town.hosts[0].fleet.direct())
+    assert len(town.post.dead) == 12
+    town.run(4.0)
+    for host in town.alive():
+        assert host.fleet.reachable() == {h.id for h in town.alive()} - {host.id}
+    town.post.sent = 0
+    town.run(1.0)
+    assert town.post.sent < 67 * 66 * 2 / 4
+
+
+def test_a_restart_is_noted_once_by_every_host(clock: Clock) -> None:
+    town = Town(79, clock)
+    town.run(6.0)
+    town.hosts[7].instance = "2"
+    town.run(3.0)
+    for host in town.hosts:
+        assert host.restarted == ([] if host.id == "h07" else ["h07"])
+
+
+def test_a_stopping_host_stays_out_though_relays_hear_of_it_later(
+    clock: Clock,
+) -> None:
+    town = Town(79, clock)
+    town.run(6.0)
+    leaving = town.hosts[7]
+    relay = next(h for h in town.hosts if h.zone == "a" and h.fleet.is_speaker())
+    follower = next(iter(relay.fleet.followers()))
+    other = next(host for host in town.hosts if host.id == follower)
+    before = relay.fleet.roster(relay.fleet.followers() | {"new"})
+    leaving.is_leaving = True
+    other.fleet.take_digest(leaving.id, leaving.digest())
+    clock.now += 0.01
+    other.fleet.take_roster(relay.id, before)
+    assert leaving.id in other.fleet.reachable()
+    assert "h07:1" not in other.fleet.caller_addresses()
+
+
+def test_a_roster_without_its_list_is_not_misread(clock: Clock) -> None:
+    town = Town(79, clock)
+    town.run(6.0)
+    host = town.hosts[0]
+    known = dict(host.fleet.known)
+    host.fleet.take_roster("h50", Roster(99, [], bytes(79), {}))
+    assert host.fleet.known == known
+
+
+def load(number: int, wait_s: float, *adapters: str, fence: int = 1) -> ReplicaLoad:
+    return ReplicaLoad(
+        "r", fence, number, wait_s, 0.001, 1, 0.3, 0.0, {"m": ["", *adapters]}
+    )
+
+
+def test_loads_reach_every_host_of_a_large_fleet(clock: Clock) -> None:
+    town = Town(79, clock)
+    town.run(6.0)
+    for host in town.hosts:
+        host.state.replicas["r"] = object()
+    town.hosts[5].loads.publish(load(1, 0.5, "x"))
+    for host in town.hosts:
+        if host.fleet.is_speaker():
+            host.fleet.pass_on(LoadBatch(host.loads.next_batch()))
+    for host in town.hosts:
+        assert host.loads.views["r"].load.wait_s == 0.5
+        assert len(host.loads.views["r"].resident) == 2
+
+
+def test_an_older_load_never_replaces_a_newer_one(clock: Clock) -> None:
+    table = Town(2, clock).hosts[0].loads
+    assert table.note(load(2, 0.2), 10.0)
+    assert not table.note(load(1, 0.1), 10.1)
+    assert not table.note(load(2, 0.2), 10.1)
+    assert table.note(load(1, 0.3, fence=2), 10.2)
+    assert table.views["r"].load.wait_s == 0.3
+
+
+def test_adapters_held_are_passed_on_at_a_change_only(clock: Clock) -> None:
+    town = Town(2, clock)
+    table, other = town.hosts[0].loads, town.hosts[1].loads
+    table.state.replicas["r"] = object()
+    for number, adapters in enumerate([("x",), ("x",), ("x", "y")], start=1):
+        table.take_load("owner", load(number, 0.1, *adapters))
+        rows = table.next_batch()
+        assert (rows[0][-2] is None) == (number == 2)
+        other.take_batch("relay", LoadBatch(rows))
+        assert len(other.views["r"].resident) == 1 + len(adapters)
+    assert table.next_batch() == []
+
+
+def test_the_age_of_a_relayed_load_counts_from_its_publication(clock: Clock) -> None:
+    town = Town(2, clock)
+    table, other = town.hosts[0].loads, town.hosts[1].loads
+    table.state.replicas["r"] = object()
+    table.take_load("owner", load(1, 0.1))
+    clock.now += 0.2
+    other.take_batch("relay", LoadBatch(table.next_batch()))
+    assert clock.now - other.views["r"].at == pytest.approx(0.2)
+
+
+def test_silence_is_longer_than_two_missed_digests() -> None:
+    assert fleets.SILENT_S > 3 * fleets.DIGEST_PAUSE_S
+    assert fleets.SPEAKER_SILENT_S > 2 * fleets.DIGEST_PAUSE_S
--- a/tests/test_gateway_sync.py
+++ b/tests/test_gateway_sync.py
@@ -5,6 +5,7 @@
 from result import Ok
 
 from filbertyard.gateway.links import FeedPart
+from filbertyard.gateway.links import FeedPush
 from filbertyard.gateway.relays import follows_store
 from filbertyard.gateway.relays import relays
 from filbertyard.gateway.state import GatewayState
@@ -42,6 +43,26 @@
     assert set(peers.asked) == {"ahead"}
 
 
+def test_changes_that_a_push_left_out_are_fetched() -> None:
+    """Regression: a host without an owner's record sent requests past its queue."""
+    peers = Peers()
+    state = create_gateway_state(create_platform_wire())
+    sync = PeerSync(state, peers)
+    sync.spawn = lambda function, *arguments: function(*arguments)
+    state.put(state.own, item("filbertyard/x", 5), 0.0, "store")
+    sync.take_push("relay", push(5, "filbertyard/y", 7))
+    assert (peers.asked, state.own.revision) == ([], 7)
+    sync.take_push("relay", push(9, "filbertyard/z", 10))
+    assert (peers.asked, state.own.revision) == (["relay"], 7)
+    sync.note_revisions("other", {"filbertyard/": 10}, 100.0)
+    sync.note_revisions("other", {"filbertyard/": 10}, 101.0)
+    assert peers.asked == ["relay", "other"]
+
+
+def push(since: int, key: str, revision: int) -> FeedPush:
+    return FeedPush("filbertyard/", since, [[key, b"{}", revision]], [], 100.0)
+
+
 def test_two_hosts_of_a_zone_follow_the_store() -> None:
     """Load pattern: many hosts, each call of the store counted."""
     hosts = {f"h{number}": True for number in range(30)}
