--- a/src/filbertyard/gateway/host.py
+++ b/src/filbertyard/gateway/host.py
@@ -282,7 +282,7 @@
 
     def candidates(self, service: str, name: AdapterName) -> list[Candidate]:
         """Return the replicas of a service as this host sees them."""
-        return self.loads.candidates(service, name, self.entry.health)
+        return self.loads.candidates(service, name, self.entry.sender.health)
 
     def ask(self, ask: Ask, left_s: float) -> Granted | RequestTurnedAway | None:
         """Ask the owner of a replica; None if it does not answer."""
--- /dev/null
+++ b/src/filbertyard/gateway/sending.py
@@ -0,0 +1,261 @@
+"""One send of a request to a replica, and the delivery of its answer."""
+
+from __future__ import annotations
+
+import logging
+import re
+import time
+from collections import Counter
+from collections.abc import Callable
+from http import HTTPStatus
+
+from ..exceptions import UpstreamError
+from ..httpcalls import HttpPeer
+from ..httpcalls import HttpResponse
+from ..logs import log_event
+from .delivery import Attempt
+from .delivery import Delivery
+from .delivery import Outcome
+from .health import HealthTable
+from .types import Replica
+from .wire import AnswerHead
+from .wire import Wire
+
+logger = logging.getLogger(__name__)
+
+# Kept connections to replicas are used again within this time only: replicas may drop
+# idle ones without notice.
+REPLICA_IDLE_S = 2.0
+
+# Connections to one replica; the replica's own bound is lower.
+REPLICA_CONNECTIONS = 1024
+
+# The load that a replica told in an answer counts for this long.
+REPORTED_LOAD_AGE_S = 0.5
+
+# A silent replica is given up for another after this many objectives, where the
+# request may be repeated.
+SILENCE_OBJECTIVES = 1.0
+LEAST_SILENCE_S = 0.25
+
+REASONS = {status.value: status.phrase for status in HTTPStatus}
+
+EVENT_ID = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
+
+
+class Sender:
+    """Connections to replicas, and what their answers show of them.
+
+    `note_first_event` is called with the replica and the grant of a request;
+    `prepare_head` may add to the headers of an answer.
+    """
+
+    def __init__(
+        self,
+        wire: Wire,
+        note_first_event: Callable[[str, str], None],
+        prepare_head: Callable[[list[tuple[str, str]]], None],
+    ) -> None:
+        self.wire = wire
+        self.note_first_event = note_first_event
+        self.prepare_head = prepare_head
+        self.health = HealthTable()
+        self.peers: dict[str, HttpPeer] = {}
+        self.running: Counter[str] = Counter()
+        self.reported: dict[str, tuple[float, int]] = {}
+
+    def load_of(self, replica: str, now: float) -> int:
+        """Return the requests at a replica: its own report while fresh, or ours."""
+        at, running = self.reported.get(replica, (0.0, 0))
+        own = self.running[replica]
+        return max(own, running) if now - at < REPORTED_LOAD_AGE_S else own
+
+    def peer(self, address: str) -> HttpPeer:
+        """Return the connections to a replica."""
+        peer = self.peers.get(address)
+        if peer is None:
+            peer = self.peers[address] = HttpPeer(
+                address,
+                concurrency=REPLICA_CONNECTIONS,
+                step="send request",
+                max_idle_s=REPLICA_IDLE_S,
+            )
+        return peer
+
+    def send(
+        self,
+        delivery: Delivery,
+        replica: Replica,
+        version: int,
+        *,
+        is_last: bool = True,
+    ) -> Attempt:
+        """Send a request to a replica and deliver its answer."""
+        request, route = delivery.request, delivery.route
+        left_s = delivery.left_s()
+        resume = delivery.last_event
+        if not resume and route.is_resumable:
+            resume = request.resume_after
+        headers = self.wire.request_headers(
+            request, replica.id, left_s, route.rank, version, resume
+        )
+        limit_s = left_s
+        if not is_last:
+            silence_s = max(LEAST_SILENCE_S, SILENCE_OBJECTIVES * route.objective_s)
+            limit_s = min(left_s, max(silence_s, left_s / 3))
+        if left_s <= 0:
+            return Attempt("not_run", replica.id, "deadline")
+        delivery.sends += 1
+        delivery.replicas.append(replica.id)
+        self.running[replica.id] += 1
+        response: HttpResponse | None = None
+        try:
+            response = self.peer(replica.address).request(
+                request.method,
+                request.target,
+                request.body,
+                headers,
+                timeout_s=limit_s,
+            )
+            head = self.wire.read_head(response.status, response.headers)
+            return self.receive(delivery, replica, response, head, is_last)
+        except UpstreamError as error:
+            return self.note_failure(delivery, replica, error)
+        finally:
+            self.running[replica.id] -= 1
+            if response is not None:
+                response.close()
+
+    def note_failure(
+        self, delivery: Delivery, replica: Replica, error: UpstreamError
+    ) -> Attempt:
+        """Log a failed exchange with a replica and judge whether it may have run."""
+        now = time.monotonic()
+        log_event(
+            logger,
+            "send_failed",
+            request=delivery.request.id,
+            replica=replica.id,
+            sent=error.sent,
+            answered=bool(delivery.write),
+            failure_rate=self.health.failure_rate(replica.id, now),
+            error=str(error),
+        )
+        if not error.sent:
+            self.health.note_unreachable(replica.id, now)
+            return Attempt("not_run", replica.id, "unreachable")
+        self.health.note(replica.id, True, now)
+        outcome: Outcome = "broken" if delivery.write is not None else "unknown"
+        return Attempt(outcome, replica.id, error.code or "connection")
+
+    def receive(
+        self,
+        delivery: Delivery,
+        replica: Replica,
+        response: HttpResponse,
+        head: AnswerHead,
+        is_last: bool,
+    ) -> Attempt:
+        """Judge the head of an answer and deliver it; raise UpstreamError."""
+        now = time.monotonic()
+        request = delivery.request
+        if head.running >= 0:
+            self.reported[replica.id] = (now, head.running + head.waiting)
+        if head.is_not_run:
+            response.read()
+            # A full replica is not a failing one; its load tells the rest.
+            log_event(
+                logger,
+                "replica_refused",
+                request=request.id,
+                replica=replica.id,
+                status=head.status,
+                absent=head.is_absent or None,
+                running=head.running,
+                waiting=head.waiting,
+            )
+            cause = "absent" if head.is_absent else "full"
+            return Attempt("not_run", replica.id, cause, head.is_absent)
+        if not head.is_signed or (head.request_id and head.request_id != request.id):
+            raise UpstreamError(
+                f"status {head.status} is not an answer to this request",
+                step="read response",
+                peer=replica.id,
+                sent=True,
+                status=head.status,
+                code="foreign_answer" if head.is_signed else "unsigned",
+            )
+        failed = head.status >= 500
+        if failed and (not is_last or delivery.write is not None):
+            response.read()
+            self.health.note(replica.id, True, now)
+            return Attempt("unknown", replica.id, f"status_{head.status}")
+        self.health.note(replica.id, failed, now)
+        if delivery.route.kind == "stream" and head.status == 200:
+            self.stream(delivery, replica, response)
+        else:
+            self.deliver_whole(delivery, response)
+        return Attempt("delivered", replica.id)
+
+    def deliver_whole(self, delivery: Delivery, response: HttpResponse) -> None:
+        """Deliver an answer with its body complete; raise UpstreamError."""
+        if delivery.left_s() > 0:
+            response.deadline = time.monotonic() + delivery.left_s()
+        body = response.read()
+        headers = self.wire.response_headers(response.headers)
+        headers.append(("Content-Length", str(len(body))))
+        self.begin(delivery, response.status, headers)
+        self.emit(delivery, body)
+
+    def stream(
+        self, delivery: Delivery, replica: Replica, response: HttpResponse
+    ) -> None:
+        """Deliver a stream as it arrives; raise UpstreamError if it breaks."""
+        response.deadline = delivery.end()
+        headers = self.wire.response_headers(response.headers)
+        rest = b""
+        # Time in which the caller did not read is no pause of the engine's.
+        awaited_since = 0.0
+        for part in response.parts():
+            now = delivery.last_part_at = time.monotonic()
+            if awaited_since:
+                pause_s = now - awaited_since
+                delivery.longest_pause_s = max(delivery.longest_pause_s, pause_s)
+            else:
+                self.note_first_event(replica.id, delivery.grant_id())
+            if delivery.write is None:
+                delivery.first_event_at = now
+                self.begin(delivery, response.status, headers)
+            if not delivery.route.is_resumable:
+                self.emit(delivery, part)
+                awaited_since = time.monotonic()
+                continue
+            awaited_since = now
+            # Only whole events are passed on where another replica may go on.
+            rest += part
+            end = rest.rfind(b"\n\n") + 2
+            if end < 2:
+                continue
+            whole, rest = rest[:end], rest[end:]
+            found = EVENT_ID.findall(whole)
+            if found:
+                delivery.last_event = found[-1].decode("latin-1")
+            self.emit(delivery, whole)
+        if delivery.write is None:
+            self.begin(delivery, response.status, headers)
+        self.emit(delivery, rest)
+
+    def begin(
+        self, delivery: Delivery, status: int, headers: list[tuple[str, str]]
+    ) -> None:
+        """Send the head of the answer with the first part of its body."""
+        phrase = REASONS.get(status, "Unknown")
+        delivery.status = status
+        self.prepare_head(headers)
+        delivery.write = delivery.start_response(f"{status} {phrase}", headers)
+
+    def emit(self, delivery: Delivery, data: bytes) -> None:
+        """Send a part of the body to the caller."""
+        if data and delivery.write is not None:
+            delivery.write(data)
+            delivery.bytes_sent += len(data)
