--- a/src/filbertyard/gateway/admission.py
+++ b/src/filbertyard/gateway/admission.py
@@ -23,17 +23,23 @@
 READ_FRACTION = 0.6
 
 # Part of the time in which prompts are given to an engine for reading: running streams
-# need the rest to generate. It follows the longest pauses that streams showed, by
-# additive increase and multiplicative decrease, from its first value within its bounds.
+# need the rest to generate. By additive increase and multiplicative decrease it follows
+# what streams show, from its first value within its bounds: more reading starts streams
+# earlier, less keeps their pauses short. It grows faster while the starts are late.
 FIRST_READ_DUTY = 0.75
 LEAST_READ_DUTY = 0.6
-MOST_READ_DUTY = 0.9
+MOST_READ_DUTY = 0.95
 READ_DUTY_STEP = 0.0005
+READ_DUTY_STEP_LATE = 0.002
 READ_DUTY_CUT = 0.95
 
-# A stream whose longest pause came closer than this to the allowed one calls for less
-# reading.
-PAUSE_TARGET = 0.85
+# Share of streams that may pause too long: the first while none starts too late, else
+# this part of the share that does. In replay, more made as many late as it helped.
+LEAST_LATE_SHARE = 0.01
+LATE_PART = 0.125
+
+# Weight of the newest stream in the shares of late ones.
+LATE_GAIN = 0.02
 
 # Reading given ahead where no pause is set, and the least, in seconds.
 DEFAULT_READ_S = 0.25
@@ -160,6 +166,8 @@
         self.run_s = FIRST_RUN_S
         self.read_duty = FIRST_READ_DUTY
         self.read_cut_at = float("-inf")
+        self.late_pauses = 0.0
+        self.late_starts = 0.0
         self.starts = 0
 
     @property
@@ -254,6 +262,7 @@
         if item is None or not item.is_reading:
             return
         item.is_reading = False
+        self.note_start(now > item.waiting.objective_at)
         tokens = item.ahead + item.waiting.prompt_tokens
         if tokens > 0:
             self.read_cost.observe(tokens, now - item.at)
@@ -265,11 +274,19 @@
         """
         if pause <= 0 or began < self.read_cut_at:
             return
-        if pause <= PAUSE_TARGET:
-            self.read_duty = min(MOST_READ_DUTY, self.read_duty + READ_DUTY_STEP)
+        self.late_pauses += LATE_GAIN * (float(pause > 1.0) - self.late_pauses)
+        if self.late_pauses <= max(LEAST_LATE_SHARE, LATE_PART * self.late_starts):
+            is_late = self.late_starts > LEAST_LATE_SHARE
+            step = READ_DUTY_STEP_LATE if is_late else READ_DUTY_STEP
+            self.read_duty = min(MOST_READ_DUTY, self.read_duty + step)
         else:
             self.read_duty = max(LEAST_READ_DUTY, self.read_duty * READ_DUTY_CUT)
             self.read_cut_at = now
+            self.late_pauses = 0.0
+
+    def note_start(self, is_late: bool) -> None:
+        """Learn whether a stream started within its objective, or not at all."""
+        self.late_starts += LATE_GAIN * (float(is_late) - self.late_starts)
 
     def finish(self, request_id: str, now: float, pause: float = 0.0) -> Started | None:
         """Free the slot of a started request; `pause` as in `note_pause`."""
@@ -287,6 +304,8 @@
     def expire(self, now: float) -> list[Waiting]:
         """Drop and return the requests that can no longer be served in time."""
         late = [item for item in self.waiting if now + LEAST_RUN_S > item.deadline]
+        for _ in late:
+            self.note_start(True)
         if late:
             self.waiting = [item for item in self.waiting if item not in late]
         return late
--- a/src/filbertyard/gateway/host.py
+++ b/src/filbertyard/gateway/host.py
@@ -6,6 +6,8 @@
 import os
 import time
 from collections.abc import Callable
+from dataclasses import fields
+from dataclasses import replace
 
 import gevent
 from result import Err
@@ -75,6 +77,10 @@
 LINGER_S = 3.0
 
 
+# Settings that a running host takes over from a changed file.
+RELOADED = ("seeds", "bounds")
+
+
 class GatewayHost:
     """The collaborators of one gateway host."""
 
@@ -368,9 +374,23 @@
         """Tell if the host is fit for new callers."""
         return not self.is_leaving and self.state.configuration is not None
 
-    def reload(self) -> None:
-        """Note that the settings file changed; addresses stay until a restart."""
-        log_event(logger, "reload", host=self.id)
+    def reload(self, settings: GatewaySettings) -> None:
+        """Take over changed seeds and bounds; other changes wait for a restart."""
+        known = self.settings
+        names = [field.name for field in fields(settings)]
+        changed = [n for n in names if getattr(settings, n) != getattr(known, n)]
+        self.settings = replace(known, seeds=settings.seeds, bounds=settings.bounds)
+        self.fleet.seeds = settings.seeds
+        bounds = settings.bounds
+        self.budget.ratio = bounds.repeat_ratio
+        self.budget.slack = bounds.repeat_slack
+        self.budget.window_s = bounds.repeat_window_s
+        log_event(
+            logger,
+            "reload",
+            changed=",".join(changed),
+            needs_restart=",".join(n for n in changed if n not in RELOADED) or None,
+        )
 
     def shutdown(self) -> None:
         """Leave the fleet: no new callers, running requests to their end."""
--- a/src/filbertyard/gateway/owner.py
+++ b/src/filbertyard/gateway/owner.py
@@ -379,6 +379,8 @@
             wait_s=queue.wait_s(now, plan.is_held),
             token_cost_s=queue.token_cost_s,
             read_duty=queue.read_duty,
+            late_pauses=queue.late_pauses,
+            late_starts=queue.late_starts,
             run_s=queue.run_s,
             resident=len(plan.resident),
             in_use=len(plan.in_use),
--- a/src/filbertyard/programs/gateway.py
+++ b/src/filbertyard/programs/gateway.py
@@ -9,6 +9,7 @@
 
 monkey.patch_all()
 
+import logging
 import signal
 import sys
 from pathlib import Path
@@ -18,12 +19,17 @@
 from gevent.event import Event
 
 from ..exceptions import SettingsError
+from ..gateway.host import GatewayHost
+from ..gateway.settings import GatewaySettings
 from ..logs import configure_stdout_logs
+from ..logs import log_event
 from ..platform.factory import create_platform_host
 from ..platform.settings import DEFAULT_SETTINGS_PATH
 from ..platform.settings import SETTINGS_VARIABLE
 from ..platform.settings import load_node_file
 
+logger = logging.getLogger(__name__)
+
 EXIT_SETTINGS = 2
 
 PEER_KEY_VARIABLE = "FILBERTYARD_PEER_KEY"
@@ -43,11 +49,8 @@
     :param metrics_port: port of the metrics on the host's address, 0 for none
     :param log_level: debug, info, warning or error
     """
-    path = Path(os.environ.get(SETTINGS_VARIABLE, DEFAULT_SETTINGS_PATH))
     try:
-        settings = load_node_file(
-            path, metrics_port, os.environ.get(PEER_KEY_VARIABLE, "")
-        )
+        settings = read_settings(metrics_port)
     except SettingsError as error:
         print(f"filbertyard-gateway: {error.message}", file=sys.stderr)
         return EXIT_SETTINGS
@@ -57,12 +60,26 @@
     stopping = Event()
     gevent.signal_handler(signal.SIGTERM, stopping.set)
     gevent.signal_handler(signal.SIGINT, stopping.set)
-    gevent.signal_handler(signal.SIGHUP, host.reload)
+    gevent.signal_handler(signal.SIGHUP, reload, host, metrics_port)
     stopping.wait()
     host.shutdown()
     return 0
 
 
+def read_settings(metrics_port: int) -> GatewaySettings:
+    """Read the settings file that the environment names; raise SettingsError."""
+    path = Path(os.environ.get(SETTINGS_VARIABLE, DEFAULT_SETTINGS_PATH))
+    return load_node_file(path, metrics_port, os.environ.get(PEER_KEY_VARIABLE, ""))
+
+
+def reload(host: GatewayHost, metrics_port: int) -> None:
+    """Let a host take over the settings file again; keep what it has if it is bad."""
+    try:
+        host.reload(read_settings(metrics_port))
+    except SettingsError as error:
+        log_event(logger, "reload_failed", level=logging.ERROR, error=error.message)
+
+
 def main() -> None:
     """Run the command line."""
     sys.exit(defopt.run(gateway))
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -2,6 +2,7 @@
 
 import json
 from collections.abc import Iterator
+from pathlib import Path
 
 import pytest
 
@@ -18,9 +19,13 @@
 from filbertyard.keyvalue import Item
 from filbertyard.keyvalue import Put
 from filbertyard.platform.exchange import create_platform_wire
+from filbertyard.platform.factory import create_platform_host
+from filbertyard.platform.settings import SETTINGS_VARIABLE
 from filbertyard.platform.settings import load_node_file
 from filbertyard.platform.standins import StoreStandin
 from filbertyard.platform.store import PlatformStore
+from filbertyard.programs.gateway import read_settings
+from filbertyard.programs.gateway import reload
 
 WIRE = create_platform_wire()
 
@@ -67,6 +72,29 @@
     assert settings.metrics == "10.0.0.1:9464"
 
 
+def test_a_running_host_takes_over_changed_bounds_and_names_the_rest(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    path = tmp_path / "node.toml"
+    path.write_text(NODE)
+    monkeypatch.setenv(SETTINGS_VARIABLE, str(path))
+    host = create_platform_host(read_settings(9464))
+    path.write_text(
+        NODE.replace("budgetSlack = 58", "budgetSlack = 9").replace(
+            'zone = "a"', 'zone = "b"'
+        )
+    )
+    with caplog.at_level("INFO"):
+        reload(host, 9464)
+    assert host.budget.slack == 9
+    assert host.settings.availability_zone == "a"
+    assert "needs_restart=availability_zone" in caplog.text
+    path.write_text("nodeName = 5")
+    reload(host, 9464)
+    assert "event=reload_failed" in caplog.text
+    assert host.budget.slack == 9
+
+
 @pytest.mark.parametrize(
     ("change", "field"),
     [
