--- a/src/filbertyard/gateway/state.py
+++ b/src/filbertyard/gateway/state.py
@@ -224,6 +224,7 @@
         name = key.removeprefix(self.replica_feed.prefix)
         if name not in self.replicas:
             return
+        was_leaving = self.replicas[name].is_leaving
         kept = not is_watch_event and now - self.store_failed_at < EXPIRY_GRACE_S
         if kept:
             self.kept_until[name] = now + EXPIRY_GRACE_S
@@ -234,6 +235,9 @@
             "replica_removed",
             replica=name,
             revision=revision,
+            watched=is_watch_event,
+            leaving=was_leaving,
+            store_failed_s=now - self.store_failed_at,
             kept_s=EXPIRY_GRACE_S if kept else None,
             source=source,
         )
--- a/src/filbertyard/gateway/sync.py
+++ b/src/filbertyard/gateway/sync.py
@@ -68,6 +68,7 @@
         self.store = store
         self.batch_interval_s = batch_interval_s
         self.is_connected = False
+        self.answered_at = -math.inf
         self.has_snapshot = False
         self.is_suspended = False
 
@@ -135,6 +136,7 @@
 
     def record_connected(self) -> None:
         """Record that the store answered."""
+        self.answered_at = time.monotonic()
         if not self.is_connected:
             self.is_connected = True
             log_event(logger, "feed_connected", feed=self.feed.prefix)
@@ -148,6 +150,7 @@
                 "feed_lost",
                 level=logging.WARNING,
                 feed=self.feed.prefix,
+                silent_s=time.monotonic() - self.answered_at,
                 error=str(error),
             )
         self.is_connected = False
