Give up a watch that hangs before a leaving replica has drained

What callers saw: for up to 11.5 s after the store had stopped responding for a moment, requests went to replicas that had said they leave (drain-total: 2,002 to 2,197 ms after the acknowledgement, bound 2,000).

Cause: a store that stops responding never answers the watches of that time. A watch waited 10 s, with 1.5 s more until its time-out, and its host counted as connected all the while, so that neither the host nor a peer read the feed.

Change: a watch of the replicas waits for half the drain time, the other feeds for 3 s, and the time-out after that is that of any other call. Replicas write often, so that their watch rarely ends by time.

The test fails on: 11.5 <= 2.0.

--- a/src/filbertyard/gateway/host.py
+++ b/src/filbertyard/gateway/host.py
@@ -43,6 +43,8 @@
 from .sync import GATEWAY_FEED_INTERVAL_S
 from .sync import OPERATOR_FEED_INTERVAL_S
 from .sync import REPLICA_FEED_DRAIN_FRACTION
+from .sync import REPLICA_WATCH_DRAIN_FRACTION
+from .sync import WATCH_WAIT_S
 from .sync import FeedWatcher
 from .sync import PeerSync
 from .types import AdapterName
@@ -132,11 +134,14 @@
             * bounds.drain_s,
             self.state.gateway_feed.prefix: GATEWAY_FEED_INTERVAL_S,
         }
+        replica_wait_s = REPLICA_WATCH_DRAIN_FRACTION * bounds.drain_s
+        watch_waits = {self.state.replica_feed.prefix: replica_wait_s}
         self.watchers = [
             FeedWatcher(
                 self.state,
                 feed,
                 self.store,
+                watch_waits.get(feed.prefix, WATCH_WAIT_S),
                 batch_intervals[feed.prefix],
                 self.fleet.watches_store,
                 self.fleet.push_feed_to_zone,
--- a/src/filbertyard/gateway/sync.py
+++ b/src/filbertyard/gateway/sync.py
@@ -26,9 +26,14 @@
 
 logger = logging.getLogger(__name__)
 
-# How long a watch of a feed waits for a change. Shorter than the time for which the
-# store keeps its history.
-WATCH_TIMEOUT_S = 10.0
+# How long a watch of a feed waits for a change. A store that stops responding for a
+# moment never answers the watches of that time, so a host that waits longer would miss
+# changes for longer.
+WATCH_WAIT_S = 3.0
+
+# The same for replicas, as a fraction of the time limit for a leaving one. They write
+# every second or so, so that a watch seldom waits this long.
+REPLICA_WATCH_DRAIN_FRACTION = 0.5
 
 # Interval after each response of a watch, so that changes are applied in batches.
 # Replicas write often; their entries may be late by this fraction of the time limit for
@@ -57,6 +62,7 @@
         state: GatewayState,
         feed: Feed,
         store: KeyValue,
+        wait_s: float,
         batch_interval_s: float,
         should_watch: Callable[[], bool],
         push: Callable[[FeedPush], None],
@@ -66,6 +72,7 @@
         self.state = state
         self.feed = feed
         self.store = store
+        self.wait_s = wait_s
         self.batch_interval_s = batch_interval_s
         self.is_connected = False
         self.answered_at = -math.inf
@@ -97,9 +104,7 @@
         now = time.monotonic()
         self.state.apply_snapshot(self.feed, found.items, found.revision, now)
         self.has_snapshot = True
-        changes = self.store.watch(
-            self.feed.prefix, found.revision + 1, WATCH_TIMEOUT_S
-        )
+        changes = self.store.watch(self.feed.prefix, found.revision + 1, self.wait_s)
         for events in changes:
             self.record_connected()
             self.apply_events(events)
--- a/src/filbertyard/platform/store.py
+++ b/src/filbertyard/platform/store.py
@@ -30,9 +30,6 @@
 # The store ends a waiting watch request after at most this time.
 MAX_WATCH_S = 30.0
 
-# Time beyond its wait after which a watch request without a response times out.
-WATCH_TIMEOUT_MARGIN_S = 1.5
-
 # Statuses of calls that had no effect.
 REJECTED_STATUSES = (429, 503)
 
@@ -172,9 +169,7 @@
                 f"/api/kv-watch?prefix={quote(prefix, safe='')}"
                 f"&after={after}&waitMs={int(wait_s * 1000)}"
             )
-            status, data = self.call(
-                "GET", path, timeout_s=wait_s + WATCH_TIMEOUT_MARGIN_S
-            )
+            status, data = self.call("GET", path, timeout_s=wait_s + self.timeout_s)
             if status == 410:
                 raise RevisionCompactedError(
                     f"changes since revision {after} are gone",
--- a/tests/test_gateway_sync.py
+++ b/tests/test_gateway_sync.py
@@ -1,7 +1,10 @@
 """Hosts fetch from one another the changes that they do not get from the store."""
 
 import json
+from typing import Any
+from urllib.parse import parse_qs
 
+import pytest
 from result import Ok
 
 from filbertyard.gateway.hubs import select_feed_hubs
@@ -12,8 +15,12 @@
 from filbertyard.gateway.state import create_gateway_state
 from filbertyard.gateway.sync import FETCH_DELAY_S
 from filbertyard.gateway.sync import PeerSync
+from filbertyard.httpcalls import HttpPeer
 from filbertyard.keyvalue import Item
 from filbertyard.platform.wireformat import create_platform_wire_format
+from gatewayfleet import BOUNDS
+from gatewayfleet import GatewayFleet
+from gatewayfleet import wait_until
 
 
 class FakePeers:
@@ -125,3 +132,30 @@
     assert state.usable("s")
     state.drop_expired_replicas(104.0)
     assert not state.usable("s")
+
+
+def test_a_watch_that_hangs_is_given_up_before_a_leaving_replica_has_drained(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Regression: after a silent outage, hosts used leaving replicas for 11 s."""
+    timeouts: dict[str, float] = {}
+    send = HttpPeer.json
+
+    def record_timeout(
+        peer: HttpPeer, method: str, path: str, *arguments: Any, **options: Any
+    ) -> tuple[int, Any]:
+        if path.startswith("/api/kv-watch"):
+            prefix = parse_qs(path.partition("?")[2])["prefix"][0]
+            timeouts[prefix] = options["timeout_s"]
+        return send(peer, method, path, *arguments, **options)
+
+    monkeypatch.setattr(HttpPeer, "json", record_timeout)
+    fleet = GatewayFleet()
+    try:
+        fleet.start()
+        wait_until(lambda: len(timeouts) == 3)
+    finally:
+        fleet.stop()
+    assert timeouts["servers/"] <= BOUNDS.drain_s
+    # A configuration has to be in force 2 s after the store has been back for 3 s.
+    assert max(timeouts.values()) <= 5.0
