Detect dead connections to hosts, replicas and the store

What callers saw: after connections had gone silent without a reset, hosts went on with an old list of replicas and an old configuration, and requests waited on dead connections until their deadline.

Cause: a dead connection showed only by a long time-out of its user. Between hosts it could stay for good: each host sends on a stream of its own and closes it when it hears nothing from the peer, so a host that does hear its peer never noticed that its own stream was dead, and its pushes and heartbeats were lost.

Change: keep-alive probes and a user timeout on each of these connections, in one function. Ruled out: acknowledged heartbeats, which would double the messages between hosts.

--- a/src/filbertyard/httpcalls.py
+++ b/src/filbertyard/httpcalls.py
@@ -20,6 +20,7 @@
 
 from .exceptions import CallerDisconnectedError
 from .exceptions import UpstreamError
+from .sockets import configure_socket
 
 CONNECT_TIMEOUT_S = 1.0
 
@@ -197,7 +198,7 @@
             (socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP, "", address)
         ]
         setattr(pool, "_resolve", lambda: resolved)  # noqa: B010
-        setattr(pool, "after_connect", set_no_delay)  # noqa: B010
+        setattr(pool, "after_connect", configure_socket)  # noqa: B010
         setattr(pool, "_is_socket_alive", self.is_reusable)  # noqa: B010
         setattr(pool, "return_socket", self.recording_return(pool.return_socket))  # noqa: B010
         return client
@@ -366,11 +367,6 @@
     return head.encode("latin-1") + b"\r\n\r\n" + body
 
 
-def set_no_delay(sock: Any) -> None:
-    """Disable Nagle's algorithm: it holds a request's end until an ACK arrives."""
-    sock.setsockopt(gevent.socket.IPPROTO_TCP, gevent.socket.TCP_NODELAY, 1)
-
-
 def is_idle(sock: Any) -> bool:
     """Return whether a kept connection is open and has nothing left to read."""
     try:
--- a/src/filbertyard/peers.py
+++ b/src/filbertyard/peers.py
@@ -37,6 +37,7 @@
 from .messages import Message
 from .messages import Problem
 from .messages import message
+from .sockets import configure_socket
 
 logger = logging.getLogger(__name__)
 
@@ -303,8 +304,7 @@
             self.traffic.streams_rejected += 1
             sock.close()
             return
-        # Without it, a small frame waits for the acknowledgement of the previous one.
-        sock.setsockopt(gevent.socket.IPPROTO_TCP, gevent.socket.TCP_NODELAY, 1)
+        configure_socket(sock)
         connection = self.open_connection(sock, str(address))
         self.accepted.add(connection)
         try:
@@ -485,7 +485,7 @@
         """Open and authenticate a stream; raise OSError or FrameError."""
         ip, _, port = address.rpartition(":")
         sock = gevent.socket.create_connection((ip, int(port)), CONNECT_TIMEOUT_S)
-        sock.setsockopt(gevent.socket.IPPROTO_TCP, gevent.socket.TCP_NODELAY, 1)
+        configure_socket(sock)
         connection = self.open_connection(sock, address)
         try:
             timeout_error = FrameError("handshake timeout", step="handshake", peer=host)
