Take a removal that a peer saw as final

Cause: a host that had lost the store, or fetched changes from a host that had, took every removal that it did not watch itself for an entry that expired in an outage, and went on using the replica for 2 s from the moment it learned of the removal, although the store had served the other hosts all the while. A call of another feed that timed out late counted as such an outage too.

Evidence: replica_removed kept_s=2 on the three hosts of za-east-b only, the others dropped the replica 0.2 s after the acknowledgement; the requests came from edge-za-east-b-3. Ruled out: a hanging watch (feed_lost came at once).

A host that sends changes on says for which replicas that holds and for how long, so that the others neither extend nor repeat the grace time; a removal without it ends it. Fields are appended; older hosts still get theirs.

Two tests set the time of the last failure by a method that is gone; they now lose the connection through the watcher and assert the same.

The regression test test_a_removal_that_a_peer_saw_is_no_expiry_in_an_outage fails before.

--- a/src/filbertyard/gateway/messages.py
+++ b/src/filbertyard/gateway/messages.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from dataclasses import field
 from typing import Any
@@ -58,12 +59,14 @@
 class FeedChanges(Message):
     """Reply to `FetchFeed`: items [key, value, revision], removals [key, revision].
 
-    `store_failure_age_s` is how long ago the store last failed to answer the sender.
+    `store_failure_age_s` is read by older hosts only. `kept_s` has the removed replicas
+    that the sender still uses because their entries may have expired in an outage.
     """
 
     items: list[list[Any]]
     removed: list[list[Any]]
-    store_failure_age_s: float
+    store_failure_age_s: float = math.inf
+    kept_s: dict[str, float] = field(default_factory=dict)
 
 
 @message("gateway_feed_push")
@@ -78,7 +81,7 @@
     since: int
     items: list[list[Any]]
     removed: list[list[Any]]
-    store_failure_age_s: float
+    store_failure_age_s: float = math.inf
 
 
 @message("gateway_ask")
--- a/src/filbertyard/gateway/state.py
+++ b/src/filbertyard/gateway/state.py
@@ -87,7 +87,6 @@
         self.hosts: dict[str, HostRecord] = {}
         self.owners: dict[str, OwnerRecord] = {}
         self.missing_since: dict[str, float] = {}
-        self.store_failed_at = float("-inf")
 
     def feed_list(self) -> list[Feed]:
         """Return the feeds."""
@@ -116,39 +115,37 @@
         now: float,
         source: str,
         *,
-        is_watch_event: bool,
+        kept_s: float = 0.0,
     ) -> bool:
         """Apply a removal from the store or a peer; tell if it removed an item.
 
-        `is_watch_event` tells that a watch reported it; else the item was missing in a
-        snapshot or fetched changes.
+        A removed replica stays in use for `kept_s`: its entry may have expired while
+        the store was unavailable.
         """
-        if not feed.remove(key, revision):
-            return False
-        if feed is self.replica_feed:
-            self.remove_replica(
-                key, revision, now, source, is_watch_event=is_watch_event
-            )
-        elif feed is self.gateway_feed:
+        is_new = feed.remove(key, revision)
+        if feed is self.replica_feed and key not in feed.items:
+            self.remove_replica(key, revision, now, source, kept_s)
+        elif is_new and feed is self.gateway_feed:
             self.remove_gateway_record(key, now, source)
-        return True
-
-    def record_store_failure(self, at: float) -> None:
-        """Record that the store did not answer at a time on the monotonic clock."""
-        self.store_failed_at = max(self.store_failed_at, at)
+        return is_new
 
     def apply_snapshot(
-        self, feed: Feed, items: Iterable[Item], revision: int, now: float
+        self,
+        feed: Feed,
+        items: Iterable[Item],
+        revision: int,
+        now: float,
+        *,
+        is_after_outage: bool = False,
     ) -> None:
         """Apply a snapshot of a feed at `revision`."""
+        kept_s = EXPIRY_GRACE_S if is_after_outage else 0.0
         found = {item.key: item for item in items}
         for item in found.values():
             self.apply_item(feed, item, now, "store")
         for key, known in list(feed.items.items()):
             if key not in found and known.mod_revision <= revision:
-                self.apply_removal(
-                    feed, key, revision, now, "store", is_watch_event=False
-                )
+                self.apply_removal(feed, key, revision, now, "store", kept_s=kept_s)
 
     def apply_operator_item(self, item: Item, now: float, source: str) -> None:
         """Apply a configuration or the announcement of a version."""
@@ -218,30 +215,35 @@
         return True
 
     def remove_replica(
-        self, key: str, revision: int, now: float, source: str, *, is_watch_event: bool
+        self, key: str, revision: int, now: float, source: str, kept_s: float
     ) -> None:
         """Stop using a replica, or keep one that may have expired in an outage."""
         name = key.removeprefix(self.replica_feed.prefix)
-        if name not in self.replicas:
+        replica = self.replicas.get(name)
+        if replica is None or revision < replica.revision:
             return
-        was_leaving = self.replicas[name].is_leaving
-        kept = not is_watch_event and now - self.store_failed_at < EXPIRY_GRACE_S
-        if kept:
-            self.kept_until[name] = now + EXPIRY_GRACE_S
+        if kept_s > 0:
+            if name in self.kept_until:
+                return
+            self.kept_until[name] = now + kept_s
         else:
+            self.kept_until.pop(name, None)
             del self.replicas[name]
         log_event(
             logger,
             "replica_removed",
             replica=name,
             revision=revision,
-            watched=is_watch_event,
-            leaving=was_leaving,
-            store_failed_s=now - self.store_failed_at,
-            kept_s=EXPIRY_GRACE_S if kept else None,
+            leaving=replica.is_leaving,
+            kept_s=kept_s or None,
             source=source,
         )
 
+    def kept_s(self, key: str, now: float) -> float:
+        """Return how long a removed replica stays in use, 0 for any other key."""
+        name = key.removeprefix(self.replica_feed.prefix)
+        return max(0.0, self.kept_until.get(name, now) - now)
+
     def drop_expired_replicas(self, now: float) -> None:
         """Stop using replicas whose entries did not come back."""
         for name, until in list(self.kept_until.items()):
--- a/src/filbertyard/gateway/sync.py
+++ b/src/filbertyard/gateway/sync.py
@@ -100,9 +100,15 @@
     def watch_feed(self) -> None:
         """Read the whole feed, then watch its changes; raise KeyValueError."""
         found = self.store.range(self.feed.prefix, prefix=True)
+        is_after_outage = not self.is_connected
         self.record_connected()
-        now = time.monotonic()
-        self.state.apply_snapshot(self.feed, found.items, found.revision, now)
+        self.state.apply_snapshot(
+            self.feed,
+            found.items,
+            found.revision,
+            time.monotonic(),
+            is_after_outage=is_after_outage,
+        )
         self.has_snapshot = True
         changes = self.store.watch(self.feed.prefix, found.revision + 1, self.wait_s)
         for events in changes:
@@ -125,12 +131,11 @@
                 if self.state.apply_item(feed, item, now, "store"):
                     items.append([item.key, item.value, item.mod_revision])
             elif self.state.apply_removal(
-                feed, item.key, item.mod_revision, now, "store", is_watch_event=True
+                feed, item.key, item.mod_revision, now, "store"
             ):
                 removed.append([item.key, item.mod_revision])
         if items or removed:
-            age_s = now - self.state.store_failed_at
-            self.push(FeedPush(feed.prefix, since, items, removed, age_s))
+            self.push(FeedPush(feed.prefix, since, items, removed))
 
     def set_suspended(self, is_suspended: bool) -> None:
         """Record whether this host leaves the feed to the feed hubs."""
@@ -148,7 +153,6 @@
 
     def record_lost(self, error: FilbertyardError) -> None:
         """Record that the store did not answer."""
-        self.state.record_store_failure(time.monotonic())
         if self.is_connected or not self.has_snapshot:
             log_event(
                 logger,
@@ -208,13 +212,13 @@
     ) -> None:
         """Apply changes of a feed that a peer sent."""
         now = time.monotonic()
-        self.state.record_store_failure(now - changes.store_failure_age_s)
         for key, value, revision in changes.items:
             self.state.apply_item(feed, Item(key, value, 0, revision), now, peer)
+        # A push has only what a watch reported.
+        kept_s = changes.kept_s if isinstance(changes, FeedChanges) else {}
         for key, revision in changes.removed:
-            is_watch_event = isinstance(changes, FeedPush)
             self.state.apply_removal(
-                feed, key, revision, now, peer, is_watch_event=is_watch_event
+                feed, key, revision, now, peer, kept_s=kept_s.get(key, 0.0)
             )
 
     def handle_push(self, peer: str, push: FeedPush) -> None:
@@ -244,18 +248,19 @@
         """Return the changes of a feed that a peer misses."""
         feed = self.state.feeds.get(request.prefix)
         if feed is None:
-            return FeedChanges([], [], math.inf)
+            return FeedChanges([], [])
         after = request.after
+        now = time.monotonic()
+        removed = {
+            key: revision for key, revision in feed.removed.items() if revision > after
+        }
+        kept_s = {key: self.state.kept_s(key, now) for key in removed}
         return FeedChanges(
             [
                 [item.key, item.value, item.mod_revision]
                 for item in feed.items.values()
                 if item.mod_revision > after
             ],
-            [
-                [key, revision]
-                for key, revision in feed.removed.items()
-                if revision > after
-            ],
-            time.monotonic() - self.state.store_failed_at,
+            [[key, revision] for key, revision in removed.items()],
+            kept_s={key: left_s for key, left_s in kept_s.items() if left_s > 0},
         )
--- a/tests/test_gateway_sync.py
+++ b/tests/test_gateway_sync.py
@@ -1,22 +1,28 @@
 """Hosts fetch from one another the changes that they do not get from the store."""
 
 import json
+import time
 from typing import Any
 from urllib.parse import parse_qs
 
 import pytest
 from result import Ok
 
+from filbertyard.exceptions import KeyValueUnavailableError
 from filbertyard.gateway.hubs import select_feed_hubs
 from filbertyard.gateway.hubs import watches_store
 from filbertyard.gateway.messages import FeedChanges
 from filbertyard.gateway.messages import FeedPush
+from filbertyard.gateway.messages import FetchFeed
+from filbertyard.gateway.state import EXPIRY_GRACE_S
 from filbertyard.gateway.state import GatewayState
 from filbertyard.gateway.state import create_gateway_state
 from filbertyard.gateway.sync import FETCH_DELAY_S
+from filbertyard.gateway.sync import FeedWatcher
 from filbertyard.gateway.sync import PeerSync
 from filbertyard.httpcalls import HttpPeer
 from filbertyard.keyvalue import Item
+from filbertyard.keyvalue import WatchEvent
 from filbertyard.platform.wireformat import create_platform_wire_format
 from gatewayfleet import BOUNDS
 from gatewayfleet import GatewayFleet
@@ -24,17 +30,18 @@
 
 
 class FakePeers:
-    """Reply to fetches with no changes."""
+    """Reply to fetches with the same changes, none by default."""
 
-    def __init__(self) -> None:
+    def __init__(self, changes: FeedChanges | None = None) -> None:
         self.asked: list[str] = []
+        self.changes = changes or FeedChanges([], [])
 
     def handle(self, cls: type, handler: object) -> None:
         pass
 
     def call(self, peer: str, message: object, timeout_s: float) -> Ok:
         self.asked.append(peer)
-        return Ok(FeedChanges([], [], 100.0))
+        return Ok(self.changes)
 
 
 def test_a_host_that_is_behind_fetches_although_other_peers_are_behind_too() -> None:
@@ -67,7 +74,7 @@
 
 
 def push(since: int, key: str, revision: int) -> FeedPush:
-    return FeedPush("filbertyard/", since, [[key, b"{}", revision]], [], 100.0)
+    return FeedPush("filbertyard/", since, [[key, b"{}", revision]], [])
 
 
 def test_two_hosts_of_a_zone_watch_the_store() -> None:
@@ -115,25 +122,78 @@
     return state
 
 
+def watcher_without_store(state: GatewayState) -> FeedWatcher:
+    """Return a connected watcher of replicas whose store never answers."""
+    watcher = FeedWatcher(
+        state, state.replica_feed, None, 1.0, 0.0, lambda: True, lambda push: None
+    )
+    watcher.record_connected()
+    return watcher
+
+
 def test_a_replica_that_leaves_after_an_outage_is_dropped_at_once() -> None:
     """Regression: a watched removal taken for an expiry exceeded the drain by 0.2 s."""
     state = state_with_a_replica()
-    state.record_store_failure(100.0)
-    state.apply_removal(
-        state.replica_feed, "servers/r1", 6, 101.0, "store", is_watch_event=True
-    )
+    watcher = watcher_without_store(state)
+    watcher.record_lost(KeyValueUnavailableError("away", step="watch", peer="store"))
+    watcher.apply_events([WatchEvent("delete", item("servers/r1", 6))])
     assert not state.usable("s")
 
 
 def test_an_entry_that_expired_in_an_outage_is_kept_for_a_moment() -> None:
     state = state_with_a_replica()
-    state.record_store_failure(100.0)
-    state.apply_snapshot(state.replica_feed, [], 6, 101.0)
+    state.apply_snapshot(state.replica_feed, [], 6, 101.0, is_after_outage=True)
     assert state.usable("s")
     state.drop_expired_replicas(104.0)
     assert not state.usable("s")
 
 
+def fetch_from(state: GatewayState, changes: FeedChanges) -> None:
+    """Have a host with this state fetch changes from a peer."""
+    peers = FakePeers(changes)
+    PeerSync(state, peers).fetch("peer", state.replica_feed)
+
+
+def test_a_removal_that_a_peer_saw_is_no_expiry_in_an_outage() -> None:
+    """Regression: a host without the store used a gone replica for 2 s more."""
+    state = state_with_a_replica()
+    watcher = watcher_without_store(state)
+    watcher.record_lost(KeyValueUnavailableError("away", step="watch", peer="store"))
+    fetch_from(state, FeedChanges([], [["servers/r1", 6]], 100.0))
+    assert not state.usable("s")
+
+
+def test_a_removal_that_a_peer_saw_ends_the_use_of_a_kept_replica() -> None:
+    state = state_with_a_replica()
+    state.apply_snapshot(state.replica_feed, [], 7, 101.0, is_after_outage=True)
+    fetch_from(state, FeedChanges([], [["servers/r1", 6]]))
+    assert not state.usable("s")
+
+
+def test_a_host_keeps_what_its_peer_keeps_after_an_outage() -> None:
+    """Guards against dropping all replicas whose entries expired in an outage."""
+    peer_state = state_with_a_replica()
+    now = time.monotonic()
+    peer_state.apply_snapshot(peer_state.replica_feed, [], 6, now, is_after_outage=True)
+    changes = PeerSync(peer_state, FakePeers()).handle_fetch(
+        "host", FetchFeed("servers/", 5)
+    )
+    state = state_with_a_replica()
+    fetch_from(state, changes)
+    assert state.usable("s")
+    state.drop_expired_replicas(time.monotonic() + EXPIRY_GRACE_S)
+    assert not state.usable("s")
+
+
+def test_an_old_removal_does_not_drop_a_replica_that_is_back() -> None:
+    state = state_with_a_replica()
+    fetch_from(state, FeedChanges([], [["servers/r1", 4]]))
+    assert state.usable("s")
+    state.apply_snapshot(state.replica_feed, [], 7, 101.0, is_after_outage=True)
+    fetch_from(state, FeedChanges([], [["servers/r1", 4]]))
+    assert state.usable("s")
+
+
 def test_a_watch_that_hangs_is_given_up_before_a_leaving_replica_has_drained(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
