Advance the revision of a feed after fetching what a push left out

What operators saw: a host that had missed a push stayed behind in its own view and fetched the same changes at each heartbeat of its peers.

Cause: a push with a gap leaves the feed at its old revision. The fetch that follows brings the changes of that push again, which are known by then, and changes that are known did not advance the revision.

Change: the reply to a fetch says which revision of the feed it completes.

Before the change the host in the test asks its hub twice more; the field revision is new.

--- a/src/filbertyard/gateway/messages.py
+++ b/src/filbertyard/gateway/messages.py
@@ -61,12 +61,14 @@
 
     `store_failure_age_s` is read by older hosts only. `kept_s` has the removed replicas
     that the sender still uses because their entries may have expired in an outage.
+    `revision` is the sender's revision of the feed.
     """
 
     items: list[list[Any]]
     removed: list[list[Any]]
     store_failure_age_s: float = math.inf
     kept_s: dict[str, float] = field(default_factory=dict)
+    revision: int = 0
 
 
 @message("gateway_feed_push")
--- a/src/filbertyard/gateway/sync.py
+++ b/src/filbertyard/gateway/sync.py
@@ -205,6 +205,9 @@
         if isinstance(result, Err) or not isinstance(result.ok_value, FeedChanges):
             return False
         self.apply_changes(peer, feed, result.ok_value)
+        # Changes that a push brought before are not applied again, so that they do not
+        # advance the revision by themselves.
+        feed.revision = max(feed.revision, result.ok_value.revision)
         return True
 
     def apply_changes(
@@ -263,4 +266,5 @@
             ],
             [[key, revision] for key, revision in removed.items()],
             kept_s={key: left_s for key, left_s in kept_s.items() if left_s > 0},
+            revision=feed.revision,
         )
--- a/tests/test_gateway_sync.py
+++ b/tests/test_gateway_sync.py
@@ -73,6 +73,21 @@
     assert peers.asked == ["hub", "other"]
 
 
+def test_a_host_that_fetched_what_a_push_left_out_is_no_longer_behind() -> None:
+    """Regression: it fetched the same changes again at every heartbeat."""
+    missing = [["filbertyard/y", b"{}", 8], ["filbertyard/z", b"{}", 10]]
+    peers = FakePeers(FeedChanges(missing, [], revision=10))
+    state = create_gateway_state(create_platform_wire_format())
+    sync = PeerSync(state, peers)
+    sync.spawn = lambda function, *arguments: function(*arguments)
+    state.apply_item(state.gateway_feed, item("filbertyard/x", 5), 0.0, "store")
+    sync.handle_push("hub", push(9, "filbertyard/z", 10))
+    assert state.gateway_feed.revision == 10
+    for now in (100.0, 101.0):
+        sync.compare_revisions("hub", {"filbertyard/": 10}, now)
+    assert peers.asked == ["hub"]
+
+
 def push(since: int, key: str, revision: int) -> FeedPush:
     return FeedPush("filbertyard/", since, [[key, b"{}", revision]], [])
 
