Check again that a replica takes requests once connected

Change: HttpPeer.request asks may_send once it has a connection. A request held back counts as not sent, costs no retry, and goes to another replica.

The test makes a replica leave while a host connects to it; before the change the leaving replica runs the request (['d2'] != ['d2']).

--- a/src/filbertyard/gateway/entry.py
+++ b/src/filbertyard/gateway/entry.py
@@ -102,7 +102,9 @@
         self.budget = budget
         self.metrics = metrics
         self.zone = zone
-        self.sender = Sender(wire, owners.report_first_event, self.close_if_stopping)
+        self.sender = Sender(
+            wire, state.is_usable, owners.report_first_event, self.close_if_stopping
+        )
         self.open_requests = 0
         self.is_stopping = False
         self.accepts_requests = True
--- a/src/filbertyard/gateway/sending.py
+++ b/src/filbertyard/gateway/sending.py
@@ -10,6 +10,7 @@
 from http import HTTPStatus
 
 from ..exceptions import UpstreamError
+from ..httpcalls import WITHDRAWN
 from ..httpcalls import HttpPeer
 from ..httpcalls import HttpResponse
 from ..logs import log_event
@@ -47,16 +48,19 @@
     """Connections to replicas, and the health and load that their responses show.
 
     `on_first_event` is called with the replica and the id of the admission request;
-    `prepare_head` may add headers to a response.
+    `prepare_head` may add headers to a response; `is_usable` tells if a replica still
+    takes requests.
     """
 
     def __init__(
         self,
         wire: WireFormat,
+        is_usable: Callable[[str], bool],
         on_first_event: Callable[[str, str], None],
         prepare_head: Callable[[list[tuple[str, str]]], None],
     ) -> None:
         self.wire = wire
+        self.is_usable = is_usable
         self.on_first_event = on_first_event
         self.prepare_head = prepare_head
         self.health = HealthTable()
@@ -118,6 +122,7 @@
                 request.body,
                 headers,
                 timeout_s=request_timeout_s,
+                may_send=lambda: self.is_usable(replica.id),
             )
             head = self.wire.read_response_head(response.status, response.headers)
             return self.receive(delivery, replica, response, head, is_last)
@@ -133,6 +138,10 @@
     ) -> Attempt:
         """Record a failed exchange and tell whether the request may have run."""
         now = time.monotonic()
+        if error.code == WITHDRAWN:
+            delivery.sends -= 1
+            delivery.replicas.pop()
+            return Attempt("not_run", replica.id, "replica_leaving")
         log_event(
             logger,
             "send_failed",
--- a/src/filbertyard/gateway/state.py
+++ b/src/filbertyard/gateway/state.py
@@ -315,6 +315,11 @@
         elif key.startswith(OWNER_PREFIX):
             self.owners.pop(key.removeprefix(OWNER_PREFIX), None)
 
+    def is_usable(self, replica: str) -> bool:
+        """Tell if a replica takes new requests."""
+        found = self.replicas.get(replica)
+        return found is not None and not found.is_leaving
+
     def usable(self, service: str) -> list[Replica]:
         """Return the replicas of a service that take new requests."""
         return [
--- a/src/filbertyard/httpcalls.py
+++ b/src/filbertyard/httpcalls.py
@@ -24,6 +24,9 @@
 
 CONNECT_TIMEOUT_S = 1.0
 
+# Code of the error for a request that `may_send` held back.
+WITHDRAWN = "withdrawn"
+
 READ_BLOCK_BYTES = 65536
 
 # A connection that was idle for longer is not reused: servers may drop idle
@@ -228,11 +231,13 @@
         *,
         new_connection: bool = False,
         timeout_s: float | None = None,
+        may_send: Callable[[], bool] = lambda: True,
     ) -> HttpResponse:
         """Send one request; raise UpstreamError with `sent` set by what was written.
 
         `new_connection` avoids reuse: a kept connection can break after the request
-        was written without telling whether the server received it.
+        was written without telling whether the server received it. `may_send` is asked
+        once more after connecting, which can take up to `CONNECT_TIMEOUT_S`.
         """
         sent_headers = dict(headers or {})
         host = sent_headers.pop("Host", self.address)
@@ -258,6 +263,15 @@
                 peer=self.address,
                 sent=False,
             ) from error
+        if not may_send():
+            pool.return_socket(sock)
+            raise UpstreamError(
+                "request withdrawn while connecting",
+                step=self.step,
+                peer=self.address,
+                sent=False,
+                code=WITHDRAWN,
+            )
         limit_s = timeout_s if timeout_s is not None else self.timeout_s
         sock.settimeout(limit_s)
         try:
--- a/tests/test_gateway_path.py
+++ b/tests/test_gateway_path.py
@@ -1,10 +1,12 @@
 """Requests through whole gateway hosts, against stand-ins of the platform."""
 
 from collections.abc import Iterator
+from dataclasses import replace
 
 import gevent
 import pytest
 
+from filbertyard.gateway.types import Replica
 from filbertyard.platform.standins import ReplicaStandin
 from gatewayfleet import GatewayFleet
 from gatewayfleet import configuration
@@ -452,3 +454,33 @@
     wait_until(
         lambda: all(set(h.caller_addresses("a")) == expected for h in fleet.hosts)
     )
+
+
+def test_a_replica_that_starts_to_leave_while_a_host_connects_gets_no_request(
+    serving: GatewayFleet,
+) -> None:
+    """Guards against the time that a connection takes after the last check."""
+    host = serving.hosts[0]
+    state = host.state
+    left: list[str] = []
+
+    def leave_while_connecting(replica: Replica) -> None:
+        pool = host.entry.sender.peer(replica.address).client._connection_pool
+        connect = pool.get_socket
+
+        def get_socket() -> object:
+            sock = connect()
+            if not left:
+                left.append(replica.id)
+                state.replicas[replica.id] = replace(replica, is_leaving=True)
+            return sock
+
+        pool.get_socket = get_socket
+
+    for replica in state.usable("desk"):
+        leave_while_connecting(replica)
+    reply = serving.send("/order/a", host=host)
+    assert reply.status == 200
+    ran_by = [replica.id for replica in serving.replicas if replica.runs]
+    assert len(left) == len(ran_by) == 1
+    assert left != ran_by
