Reject what still waits for a replica before a stopping host exits

Cause: at the end of its grace period a host stopped its owners and servers; the rejection that this caused was written after the connections were closed.

Change: half a second before it exits, a host withdraws what waits for admission and answers 503 with a short Retry-After. What a replica already runs goes on.

Before the change the request in the test has no response when the host exits.

--- a/src/filbertyard/exceptions.py
+++ b/src/filbertyard/exceptions.py
@@ -137,6 +137,10 @@
         self.code = code
 
 
+class HostStoppingError(FilbertyardError):
+    """A request that still waits while its host is about to exit."""
+
+
 class NotOwnerError(FilbertyardError):
     """An order or dispatch attempted without a valid host lease or ownership."""
 
--- a/src/filbertyard/gateway/entry.py
+++ b/src/filbertyard/gateway/entry.py
@@ -10,10 +10,13 @@
 from typing import Any
 from typing import Protocol
 
+import gevent
+
 from ..callerserver import HANDLER_KEY
 from ..exceptions import BodyTimeoutError
 from ..exceptions import BodyTooLargeError
 from ..exceptions import CallerDisconnectedError
+from ..exceptions import HostStoppingError
 from ..exceptions import RequestError
 from ..logs import log_event
 from ..metrics import Metrics
@@ -108,6 +111,8 @@
         self.open_requests = 0
         self.is_stopping = False
         self.accepts_requests = True
+        self.admits_requests = True
+        self.awaiting_admission: set[Any] = set()
         self.random = random.Random()
 
     def __call__(
@@ -216,7 +221,7 @@
         retry_after_s = 0.0
         is_adapter_absent = False
         may_have_run = False
-        while delivery.event_timeout_left_s() > 0:
+        while self.admits_requests and delivery.event_timeout_left_s() > 0:
             found = [
                 candidate
                 for candidate in self.owners.candidates(service, name)
@@ -312,13 +317,28 @@
             output_tokens=request.output_tokens,
             is_adapter_absent=is_adapter_absent,
         )
+        greenlet = gevent.getcurrent()
+        self.awaiting_admission.add(greenlet)
         try:
             return self.owners.request_admission(message, left_s)
-        except BaseException:
+        except BaseException as error:
             self.owners.report_finished(
                 candidate.replica, message.request_id, "withdrawn"
             )
-            raise
+            if not isinstance(error, HostStoppingError):
+                raise
+            return AdmissionRejected(
+                message.request_id, "host_stopping", STOPPING_RETRY_AFTER_S
+            )
+        finally:
+            self.awaiting_admission.discard(greenlet)
+
+    def stop_admission(self) -> None:
+        """Reject the requests that still wait, before this host exits."""
+        self.admits_requests = False
+        for greenlet in list(self.awaiting_admission):
+            error = HostStoppingError("host stops", step="await admission", peer="")
+            gevent.kill(greenlet, error)
 
     def send_admitted(
         self, delivery: Delivery, replica: Replica, version: int
--- a/src/filbertyard/gateway/host.py
+++ b/src/filbertyard/gateway/host.py
@@ -68,6 +68,10 @@
 # A stopping host exits this long before the end of its grace period, when it is killed.
 STOP_MARGIN_S = 0.5
 
+# A stopping host rejects what still waits for a replica this long before it exits, so
+# that the responses reach their callers.
+REJECT_MARGIN_S = 0.5
+
 # Time limit for a stopping host to release its claims.
 RELEASE_TIMEOUT_S = 0.3
 
@@ -423,6 +427,8 @@
             gevent.sleep(0.05)
             if time.monotonic() - started_at >= ACCEPT_PERIOD_S:
                 self.entry.accepts_requests = False
+            if self.entry.admits_requests and time.monotonic() >= end - REJECT_MARGIN_S:
+                self.entry.stop_admission()
             has_lingered = time.monotonic() - started_at >= MIN_LINGER_S
             if has_lingered and not self.entry.open_requests:
                 break
--- a/tests/gatewayfleet.py
+++ b/tests/gatewayfleet.py
@@ -140,6 +140,7 @@
     store: PlatformStoreStandin = field(default_factory=PlatformStoreStandin)
     replicas: list[ReplicaStandin] = field(default_factory=list)
     hosts: list[GatewayHost] = field(default_factory=list)
+    bounds: GatewayBounds = BOUNDS
     count: int = 0
 
     def add_replica(self, replica: ReplicaStandin) -> ReplicaStandin:
@@ -163,7 +164,7 @@
             seeds=tuple(host.id for host in self.hosts[:1]),
             key_value=self.store.address,
             key_value_form=KEY_VALUE_FORM,
-            bounds=BOUNDS,
+            bounds=self.bounds,
             peer_key="a-key-for-tests",
         )
         host = create_platform_host(settings)
--- a/tests/test_gateway_path.py
+++ b/tests/test_gateway_path.py
@@ -8,6 +8,7 @@
 
 from filbertyard.gateway.types import Replica
 from filbertyard.platform.standins import ReplicaStandin
+from gatewayfleet import BOUNDS
 from gatewayfleet import GatewayFleet
 from gatewayfleet import configuration
 from gatewayfleet import route
@@ -32,6 +33,20 @@
     fleet.stop()
 
 
+@pytest.fixture
+def fleet_with_short_grace() -> Iterator[GatewayFleet]:
+    fleet = GatewayFleet(bounds=replace(BOUNDS, grace_s=4.0))
+    fleet.start(hosts=1)
+    patient = route("text", "/text/", "streaming", "engine", targetLatencyMs=5000)
+    fleet.store.write("op/config", configuration(2, text=patient))
+    fleet.add_replica(ReplicaStandin("e1", "engine", model="m0"))
+    state = fleet.hosts[0].state
+    wait_until(lambda: state.configuration and state.configuration.version == 2)
+    fleet.await_owners()
+    yield fleet
+    fleet.stop()
+
+
 @pytest.fixture
 def serving(fleet: GatewayFleet) -> GatewayFleet:
     fleet.await_owners()
@@ -484,3 +499,22 @@
     ran_by = [replica.id for replica in serving.replicas if replica.runs]
     assert len(left) == len(ran_by) == 1
     assert left != ran_by
+
+
+def test_a_stopping_host_rejects_what_still_waits_before_it_exits(
+    fleet_with_short_grace: GatewayFleet,
+) -> None:
+    """Regression: a request that waited for admission got no response at all."""
+    fleet = fleet_with_short_grace
+    host = fleet.hosts[0]
+    for replica in fleet.replicas:
+        replica.faults.hang_s = 60.0
+    running = [gevent.spawn(fleet.text, "a1", limit_s=60.0) for _ in range(8)]
+    wait_until(lambda: sum(len(replica.runs) for replica in fleet.replicas) == 8)
+    waiting = gevent.spawn(fleet.text, "a1", limit_s=60.0)
+    wait_until(lambda: host.entry.awaiting_admission)
+    host.shutdown()
+    assert waiting.ready()
+    reply = waiting.get()
+    assert (reply.status, reply.is_complete) == (503, True)
+    gevent.killall(running)
