Log whether a failed request had begun, and the parts of its prompt

The logs could not tell which requests had begun to be answered when their replica ended, nor what those that had not have in common. The wire format now decodes the shared parts of a prompt; send_failed logs them. No logic changes.

--- a/src/filbertyard/gateway/delivery.py
+++ b/src/filbertyard/gateway/delivery.py
@@ -42,7 +42,8 @@
 class Delivery:
     """What the caller has received so far, and the fields of the request's log line.
 
-    `expected_s` is the estimated time to the first event of the last replica chosen.
+    `expected_s` is the estimated time to the first event of the last replica chosen,
+    `has_begun` tells if the last replica that got the request sent an event.
     """
 
     request: GatewayRequest
@@ -53,6 +54,7 @@
     write: Callable[[bytes], None] | None = None
     status: int = 0
     last_event: str = ""
+    has_begun: bool = False
     first_event_at: float = 0.0
     last_chunk_at: float = 0.0
     longest_gap_s: float = 0.0
--- a/src/filbertyard/gateway/sending.py
+++ b/src/filbertyard/gateway/sending.py
@@ -112,6 +112,7 @@
         if left_s <= 0:
             return Attempt("not_run", replica.id, "deadline")
         delivery.sends += 1
+        delivery.has_begun = False
         delivery.replicas.append(replica.id)
         self.in_flight[replica.id] += 1
         response: HttpResponse | None = None
@@ -149,6 +150,8 @@
             replica=replica.id,
             sent=error.sent,
             response_started=bool(delivery.write),
+            begun=delivery.has_begun,
+            prompt=",".join(delivery.request.prompt_parts),
             failure_rate=self.health.failure_rate(replica.id, now),
             error=str(error),
         )
@@ -229,6 +232,7 @@
         gap_started_at = 0.0
         for part in response.parts():
             now = delivery.last_chunk_at = time.monotonic()
+            delivery.has_begun = True
             if gap_started_at:
                 gap_s = now - gap_started_at
                 delivery.longest_gap_s = max(delivery.longest_gap_s, gap_s)
--- a/src/filbertyard/gateway/types.py
+++ b/src/filbertyard/gateway/types.py
@@ -206,7 +206,11 @@
 
 @dataclass(slots=True)
 class GatewayRequest:
-    """One request of a caller, decoded; times are on the monotonic clock."""
+    """One request of a caller, decoded; times are on the monotonic clock.
+
+    `prompt_parts` are the ids of the parts of its prompt that other requests may share,
+    in order.
+    """
 
     id: str
     host: str
@@ -220,6 +224,7 @@
     prompt_tokens: int = 0
     output_tokens: int = 0
     resume_after: str = ""
+    prompt_parts: tuple[str, ...] = ()
 
     def left_s(self, now: float) -> float:
         """Return the time until the deadline."""
--- a/src/filbertyard/platform/wireformat.py
+++ b/src/filbertyard/platform/wireformat.py
@@ -26,6 +26,7 @@
 MODEL = "Model"
 # Prompt tokens and the maximum of output tokens, not the tokens used.
 TOKEN_USAGE = "Token-Usage"
+PROMPT_PREFIX = "Prompt-Prefix"
 LENGTH_HINT = "Length-Hint"
 PRIORITY = "Request-Priority"
 EXPECTED_VERSION = "Expected-Version"
@@ -127,6 +128,7 @@
             prompt_tokens=prompt,
             output_tokens=min(output, hint) if hint else output,
             resume_after=fields.get(LAST_EVENT.lower(), ""),
+            prompt_parts=parse_prompt_prefix(fields.get(PROMPT_PREFIX.lower(), "")),
         )
 
     def request_headers(
@@ -263,6 +265,11 @@
     return parse_number(TOKEN_USAGE, prompt, 0), parse_number(TOKEN_USAGE, output, 0)
 
 
+def parse_prompt_prefix(text: str) -> tuple[str, ...]:
+    """Parse the ids of all parts of a prompt but the last, which is never shared."""
+    return tuple(part.partition(":")[0].strip() for part in text.split(",")[:-1])
+
+
 def parse_adapter(text: str) -> AdapterName | None:
     """Parse the model and adapter of a request, None if it names none."""
     if not text:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -296,3 +296,10 @@
     store.leases[lease] = (3, 0.0)
     assert client.lease_keepalive(lease) == 0
     assert not client.range("k").items
+
+
+def test_the_last_part_of_a_prompt_is_its_own() -> None:
+    shared = request(Prompt_Prefix="5c1e07a2:800, 91bd3f06:410,e4402b7d:250")
+    assert shared.prompt_parts == ("5c1e07a2", "91bd3f06")
+    assert request(Prompt_Prefix="e4402b7d:250").prompt_parts == ()
+    assert request().prompt_parts == ()
