Bound what a replica may send in a head, in framing and in one body

What could happen: a replica that sends a head, interim responses, chunk extensions, trailers, an event or a body without end was read until the deadline of the request, and all but the body of a stream was kept in memory. A few such responses exceed the memory of a host, which is then killed with all its requests.

Change: framing may add up to 64 KB and 16 bytes per byte of body, a body that is kept whole to 16 MB, an event that is waited for to 1 MB. What exceeds them is an unknown outcome, as a broken connection is.

--- a/src/filbertyard/gateway/sending.py
+++ b/src/filbertyard/gateway/sending.py
@@ -46,6 +46,9 @@
 EVENT_ENDS = (EVENT_END, b"\r\n\r\n", b"\r\r")
 MAX_EVENT_END_BYTES = 4
 
+# Events larger than this are not waited for.
+MAX_EVENT_BYTES = 1024 * 1024
+
 EVENT_ID = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
 
 
@@ -256,6 +259,8 @@
             pending += part
             end = pending.rfind(EVENT_END) + len(EVENT_END)
             if end < len(EVENT_END):
+                if len(pending) > MAX_EVENT_BYTES:
+                    raise stream_error("an event is too large", replica)
                 continue
             events, pending = pending[:end], pending[end:]
             found = EVENT_ID.findall(events)
--- a/src/filbertyard/httpcalls.py
+++ b/src/filbertyard/httpcalls.py
@@ -35,6 +35,14 @@
 
 MIN_FINAL_STATUS = 200
 
+# Heads, chunk sizes and trailers of a response may add up to this many bytes, and for
+# each byte of its body to this many more. The parser itself sets no limit.
+MAX_FRAMING_BYTES = 64 * 1024
+MAX_FRAMING_PER_BODY_BYTE = 16
+
+# Largest body that is kept in memory as a whole.
+MAX_BODY_BYTES = 16 * 1024 * 1024
+
 
 class SingleResponse(HTTPSocketPoolResponse):
     """A response that ignores whatever follows it on its connection.
@@ -44,6 +52,8 @@
     """
 
     final_status = 0
+    received_bytes = 0
+    body_bytes = 0
 
     @property
     def status_code(self) -> int:
@@ -56,6 +66,10 @@
             self.final_status = code
         return super()._on_headers_complete()
 
+    def _on_body(self, buf: bytearray) -> None:
+        self.body_bytes += len(buf)
+        super()._on_body(buf)
+
     def _on_message_begin(self) -> None:
         if self.message_complete and self.final_status:
             raise HTTPParseError("bytes follow the response")
@@ -63,6 +77,7 @@
 
     def feed(self, data: Any) -> None:
         """Parse received bytes; drop those that follow the complete response."""
+        self.received_bytes += len(data)
         was_complete = self.message_complete
         try:
             super().feed(data)
@@ -71,6 +86,14 @@
                 raise
             self.headers_complete = self.message_complete = True
             self._trailing_data_dropped = True
+        max_framing_bytes = (
+            MAX_FRAMING_BYTES + MAX_FRAMING_PER_BODY_BYTE * self.body_bytes
+        )
+        if (
+            self.received_bytes - self.body_bytes > max_framing_bytes
+            and not self.message_complete
+        ):
+            raise HTTPParseError("response head or framing is too large")
 
 
 @dataclass(slots=True)
@@ -101,8 +124,20 @@
         return any(key.lower() in framing for key, _ in self.headers)
 
     def read(self) -> bytes:
-        """Return the whole body; raise UpstreamError if it is cut short."""
-        return b"".join(self.parts())
+        """Return the whole body; raise UpstreamError if it is cut short or endless."""
+        body = bytearray()
+        for part in self.parts():
+            body += part
+            if len(body) > MAX_BODY_BYTES:
+                self.close()
+                raise UpstreamError(
+                    f"body exceeds {MAX_BODY_BYTES} bytes",
+                    step="read response",
+                    peer=self.peer,
+                    sent=True,
+                    code="body_too_large",
+                )
+        return bytes(body)
 
     def parts(self) -> Iterator[bytes]:
         """Yield the body as it arrives; raise UpstreamError if it is cut short."""
