Let the soak keep connections open, overlap restarts, drain replicas and crash them

Change: callers use open connections until the process is gone; stops come in series and overlap with what follows; settings files and configurations change; replicas leave with and without saying so; requests with a part that crashes replicas come in.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -27,6 +27,9 @@
         default=(0, 0),
         help="FIRST+COUNT: seeds of the soak instead of those of CI",
     )
+    parser.addoption(
+        "--soak-hosts", type=int, default=3, help="gateway processes of the soak"
+    )
 
 
 def known_red() -> dict[str, str]:
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import json
+import math
 import os
 import random
+import re
 import signal
 import subprocess
 import sys
@@ -31,6 +33,21 @@
 ADAPTERS = 8
 CALLERS = 6
 
+# Time limit for a leaving replica, and how much later than that the slow processes of a
+# loaded machine may react.
+DRAIN_S = 2.0
+DRAIN_SLACK_S = 3.0
+
+# The bounds hold again this long after the last fault.
+STABLE_S = 3.0
+
+# Replicas that requests with one harmful part may end before the fleet reacts, and
+# requests with it that may still reach replicas afterwards.
+MAX_FIRST_CRASHES = 5
+MAX_LATE_HARMFUL = 3
+
+HARMFUL_SHARE = 0.15
+
 # Lease duration; orders of two hosts to one replica must be at least this far apart.
 MIN_HOLDER_GAP_S = 3.0
 
@@ -55,7 +72,19 @@
         self.sockets: set[Any] = set()
         self.server = StreamServer(("127.0.0.1", 0), self.serve)
         self.server.start()
-        self.address = f"127.0.0.1:{self.server.server_port}"
+        self.port = self.server.server_port
+        self.address = f"127.0.0.1:{self.port}"
+
+    def close(self) -> None:
+        """Refuse connections and close the open ones, as after a crash behind it."""
+        self.server.stop(timeout=0)
+        for sock in list(self.sockets):
+            sock.close()
+
+    def reopen(self) -> None:
+        """Accept connections again."""
+        self.server = StreamServer(("127.0.0.1", self.port), self.serve)
+        self.server.start()
 
     def serve(self, sock: Any, address: Any) -> None:
         """Copy bytes in both directions according to the mode."""
@@ -144,6 +173,7 @@
     kind: str
     adapter: str
     reply: Reply | None = None
+    harmful_part: str = ""
 
 
 @dataclass
@@ -160,6 +190,11 @@
     caller_tasks: list[Any] = field(default_factory=list)
     injected_faults: list[str] = field(default_factory=list)
     orders: dict[str, list[tuple[float, dict]]] = field(default_factory=dict)
+    hosts: int = HOSTS
+    disturbances: list[tuple[float, float]] = field(default_factory=list)
+    drains: list[tuple[str, float, float]] = field(default_factory=list)
+    harmful_part: str = ""
+    crash_times: dict[str, list[float]] = field(default_factory=dict)
 
     def start(self) -> None:
         """Start everything and wait until requests are served."""
@@ -176,9 +211,10 @@
             replica.start()
             self.replicas.append(replica)
             self.links[name] = Link(lambda replica=replica: replica.address)
+            replica.on_restart = self.record_restart
             self.record_orders(replica)
             self.list_replica(replica)
-        control_addresses = [f"127.0.0.1:{free_port()}" for _ in range(HOSTS)]
+        control_addresses = [f"127.0.0.1:{free_port()}" for _ in range(self.hosts)]
         for number, control_address in enumerate(control_addresses):
             self.add_process(number, control_address, control_addresses)
         for process in self.processes:
@@ -197,6 +233,21 @@
 
         replica.apply_order = record_and_apply
 
+    def record_restart(self, replica: ReplicaStandin) -> None:
+        """List a replica that is back after a crash."""
+        self.orders[replica.id].clear()
+        self.links[replica.id].reopen()
+        self.list_replica(replica)
+
+    def disturb(self, seconds: float) -> None:
+        """Record that the bounds need not hold for a while from now on."""
+        now = time.monotonic()
+        self.disturbances.append((now, now + seconds + STABLE_S))
+
+    def is_disturbed(self, start: float, end: float) -> bool:
+        """Tell if a fault or what follows it overlaps with a time."""
+        return any(first < end and start < last for first, last in self.disturbances)
+
     def list_replica(self, replica: ReplicaStandin, state: str = "ready") -> None:
         """Write the replica's store entry with the address of its link."""
         entry = {**replica.entry(state), "address": self.links[replica.id].address}
@@ -237,8 +288,14 @@
         )
         self.processes.append(process)
 
-    def send(self, kind: str, number: int) -> Reply:
-        """Send one request and record its reply."""
+    def send(
+        self, kind: str, number: int, sockets: dict[int, Any] | None = None
+    ) -> Reply:
+        """Send one request and record its reply; reuse an open connection if any.
+
+        `sockets` are the open connections of one caller to the hosts.
+        """
+        sockets = {} if sockets is None else sockets
         call = Call(f"q{len(self.calls)}", kind, kind)
         self.calls.append(call)
         path = {"desk": "/order/x", "stock": "/stock/x"}.get(kind, "/note/x")
@@ -250,27 +307,43 @@
             "Content-Length: 2",
         ]
         if path == "/note/x":
+            parts = ["system:50", f"session{len(self.calls) % 5}:20"]
+            if self.harmful_part and random.random() < HARMFUL_SHARE:
+                call.harmful_part = self.harmful_part
+                parts.append(f"{self.harmful_part}:10")
             lines += [f"Model: {MODEL}/{kind}", "Token-Usage: 100,20"]
+            lines.append(f"Prompt-Prefix: {','.join(parts)},{call.id}:20")
         ip, _, port = self.processes[number].callers_address.rpartition(":")
+        sock = sockets.pop(number, None)
         try:
-            sock = gevent.socket.create_connection((ip, int(port)), 1.0)
-            try:
-                sock.settimeout(8.0)
-                sock.sendall("\r\n".join([*lines, "", ""]).encode() + b"{}")
-                call.reply = read_reply(sock)
-            finally:
-                sock.close()
+            if sock is None:
+                sock = gevent.socket.create_connection((ip, int(port)), 1.0)
+            sock.settimeout(8.0)
+            sock.sendall("\r\n".join([*lines, "", ""]).encode() + b"{}")
+            call.reply = read_reply(sock)
         except (OSError, Exception) as error:  # noqa: BLE001
             # The connection failed: the request may or may not have run.
             call.reply = Reply(0, {}, str(error).encode(), False)
+        closes = call.reply.headers.get("connection", "").lower() == "close"
+        if call.reply.is_complete and not closes:
+            sockets[number] = sock
+        elif sock is not None:
+            sock.close()
         return call.reply
 
     def run_caller(self, rng: random.Random) -> None:
-        """Send requests of random kinds one after the other."""
-        while True:
-            kind = rng.choice(["desk", "stock", *(f"a{n}" for n in range(ADAPTERS))])
-            self.send(kind, rng.randrange(HOSTS))
-            gevent.sleep(rng.uniform(0.0, 0.1))
+        """Send requests of random kinds, on open connections as long as they last."""
+        sockets: dict[int, Any] = {}
+        try:
+            while True:
+                kind = rng.choice(
+                    ["desk", "stock", *(f"a{n}" for n in range(ADAPTERS))]
+                )
+                self.send(kind, rng.randrange(self.hosts), sockets)
+                gevent.sleep(rng.uniform(0.0, 0.1))
+        finally:
+            for sock in sockets.values():
+                sock.close()
 
     def run(self, faults: int) -> None:
         """Inject faults, which may overlap, then end them and wait for recovery."""
@@ -284,6 +357,7 @@
             self.injected_faults.append(name)
             FAULTS[name](self, rng)
             gevent.sleep(rng.uniform(0.2, 2.0))
+        gevent.sleep(STABLE_S)
         self.end_faults()
         wait_until(lambda: self.send("desk", 0).status == 200, RECOVERY_TIMEOUT_S)
         wait_until(lambda: self.send("a1", 1).status == 200, RECOVERY_TIMEOUT_S)
@@ -295,7 +369,10 @@
         self.store.faults.delay_s = 0.0
         for link in self.links.values():
             link.set_mode("pass")
+        self.harmful_part = ""
         for replica in self.replicas:
+            replica.faults.harmful_part = ""
+            self.end_drain(replica.id)
             self.list_replica(replica)
         for process in self.processes:
             process.signal(signal.SIGCONT)
@@ -329,6 +406,45 @@
         for call in self.calls:
             call_runs = runs.get(call.id, [])
             found += call_violations(call, call_runs)
+        return found + self.drain_violations() + self.harmful_violations(runs)
+
+    def end_drain(self, replica: str) -> None:
+        """Record that a leaving replica is listed as ready again."""
+        now = time.monotonic()
+        self.drains = [
+            (name, start, min(end, now) if name == replica else end)
+            for name, start, end in self.drains
+        ]
+
+    def drain_violations(self) -> list[str]:
+        """Return requests that leaving replicas got too late, without another fault."""
+        found = []
+        for name, start, end in self.drains:
+            replica = next(item for item in self.replicas if item.id == name)
+            for run in replica.runs:
+                late_s = run["at"] - start - DRAIN_S - DRAIN_SLACK_S
+                if late_s > 0 and run["at"] < end:
+                    if self.is_disturbed(start - STABLE_S, run["at"]):
+                        continue
+                    found.append(f"{name} got {run['id']} {late_s:.1f} s late")
+        return found
+
+    def harmful_violations(self, runs: dict[str, list[dict]]) -> list[str]:
+        """Return parts with too many requests that reached replicas late."""
+        found = []
+        for part, times in self.crash_times.items():
+            if len(times) < MAX_FIRST_CRASHES:
+                continue
+            limit = sorted(times)[MAX_FIRST_CRASHES - 1] + STABLE_S
+            late = [
+                run["at"]
+                for call in self.calls
+                if call.harmful_part == part
+                for run in runs.get(call.id, [])
+                if run["at"] > limit and not self.is_disturbed(limit, run["at"])
+            ]
+            if len(late) > MAX_LATE_HARMFUL:
+                found.append(f"{len(late)} requests with {part} reached replicas late")
         return found
 
     def order_violations(self, replica: str) -> list[str]:
@@ -382,40 +498,103 @@
 def pause_host(soak: Soak, rng: random.Random) -> None:
     """Pause a process for a while."""
     process = rng.choice(soak.processes)
+    pause_s = rng.uniform(0.5, 5.0)
+    soak.disturb(pause_s)
     process.signal(signal.SIGSTOP)
-    gevent.spawn_later(rng.uniform(0.5, 5.0), process.signal, signal.SIGCONT)
+    gevent.spawn_later(pause_s, process.signal, signal.SIGCONT)
+
+
+def restart_host(process: Process, number: int, delay_s: float) -> None:
+    """Signal a process to end and start it again once it is gone."""
+    process.signal(signal.SIGCONT)
+    process.signal(number)
+    popen = process.popen
+    wait_until(lambda: popen is None or popen.poll() is not None, 15.0)
+    gevent.sleep(delay_s)
+    if process.popen is popen:
+        process.start()
 
 
 @fault
 def kill_host(soak: Soak, rng: random.Random) -> None:
-    """Kill a process and restart it."""
-    process = rng.choice(soak.processes)
-    process.signal(signal.SIGCONT)
-    process.signal(signal.SIGKILL)
-    if process.popen is not None:
-        process.popen.wait()
-    gevent.sleep(rng.uniform(0.0, 0.5))
-    process.start()
+    """Kill a process and restart it, beside what follows."""
+    process, delay_s = rng.choice(soak.processes), rng.uniform(0.0, 0.5)
+    soak.disturb(delay_s)
+    soak.caller_tasks.append(
+        gevent.spawn(restart_host, process, signal.SIGKILL, delay_s)
+    )
 
 
 @fault
-def stop_host(soak: Soak, rng: random.Random) -> None:
-    """Stop a process gracefully and restart it when it has exited."""
-    process = rng.choice(soak.processes)
-    process.signal(signal.SIGCONT)
-    process.signal(signal.SIGTERM)
-    if process.popen is not None:
-        wait_until(lambda: process.popen.poll() is not None, 15.0)
-    process.start()
+def stop_hosts(soak: Soak, rng: random.Random) -> None:
+    """Stop processes gracefully one after the other, beside what follows."""
+    gap_s = rng.uniform(0.5, 2.0)
+    stopped = rng.sample(soak.processes, rng.randrange(1, len(soak.processes) + 1))
+    soak.disturb(len(stopped) * gap_s + 8.0)
+    for index, process in enumerate(stopped):
+        soak.caller_tasks.append(
+            gevent.spawn_later(
+                index * gap_s, restart_host, process, signal.SIGTERM, 0.1
+            )
+        )
+
+
+@fault
+def reload_hosts(soak: Soak, rng: random.Random) -> None:
+    """Change the settings files and signal some processes to read them."""
+    for process in soak.processes:
+        path = process.folder / "node.toml"
+        slack = f"budgetSlack = {rng.randrange(40, 60)}"
+        path.write_text(re.sub(r"budgetSlack = \d+", slack, path.read_text()))
+        if rng.random() < 0.7:
+            process.signal(signal.SIGHUP)
+
+
+@fault
+def change_configuration(soak: Soak, rng: random.Random) -> None:
+    """Write several configurations in quick succession."""
+    for _ in range(rng.randrange(1, 4)):
+        soak.store.write("op/config", configuration(soak.store.revision))
+        gevent.sleep(rng.uniform(0.0, 0.1))
+
+
+@fault
+def drain_replica(soak: Soak, rng: random.Random) -> None:
+    """Have one of two replicas leave, with or without saying so before."""
+    name = rng.choice(["e2", "d2"])
+    replica = next(item for item in soak.replicas if item.id == name)
+    if rng.random() < 0.5:
+        soak.list_replica(replica, "draining")
+    else:
+        soak.store.delete(f"servers/{name}")
+    soak.drains.append((name, time.monotonic(), math.inf))
+
+
+@fault
+def send_harmful_prompts(soak: Soak, rng: random.Random) -> None:
+    """Mix in requests with a part that crashes each replica that begins to answer."""
+    if soak.harmful_part:
+        return
+    part = soak.harmful_part = f"dead{rng.randrange(1 << 32):x}"
+    times = soak.crash_times.setdefault(part, [])
+    for replica in soak.replicas:
+        replica.faults.harmful_part = part
+
+        def crash(replica: ReplicaStandin = replica) -> None:
+            times.append(time.monotonic())
+            soak.links[replica.id].close()
+            ReplicaStandin.crash(replica)
+
+        replica.crash = crash
 
 
 @fault
 def store_away(soak: Soak, rng: random.Random) -> None:
     """Make the store reject every request for a while."""
+    away_s = rng.uniform(0.5, 4.0)
+    soak.disturb(away_s)
     soak.store.faults.unavailable = True
-    gevent.spawn_later(
-        rng.uniform(0.5, 4.0), setattr, soak.store.faults, "unavailable", False
-    )
+    gevent.spawn_later(away_s, setattr, soak.store.faults, "unavailable", False)
 
 
 @fault
@@ -435,8 +614,10 @@
 def disturb_link(soak: Soak, rng: random.Random) -> None:
     """Delay, stall in one or both directions, or reset one link for a while."""
     link = soak.links[rng.choice(sorted(soak.links))]
+    disturbed_s = rng.uniform(0.5, 4.0)
+    soak.disturb(disturbed_s)
     link.set_mode(rng.choice(["delay", "silent", "one_way", "reset"]))
-    gevent.spawn_later(rng.uniform(0.5, 4.0), link.set_mode, "pass")
+    gevent.spawn_later(disturbed_s, link.set_mode, "pass")
 
 
 @fault
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,4 +1,7 @@
-"""Soak test with fixed seeds; others: pytest tests/test_soak.py --soak-seeds 100+50."""
+"""Soak test with fixed seeds.
+
+Others: pytest tests/test_soak.py --soak-seeds 100+50 --soak-hosts 30
+"""
 
 from pathlib import Path
 
@@ -19,8 +22,10 @@
 
 
 @pytest.mark.timeout(240)
-def test_invariants_hold_under_faults(seed: int, tmp_path: Path) -> None:
-    soak = Soak(tmp_path, seed)
+def test_invariants_hold_under_faults(
+    seed: int, tmp_path: Path, request: pytest.FixtureRequest
+) -> None:
+    soak = Soak(tmp_path, seed, hosts=request.config.getoption("--soak-hosts"))
     try:
         soak.start()
         soak.run(FAULTS_PER_RUN)
