Reject waiting requests as soon as their prompt is rejected

A request whose prompt had come to be rejected stayed in its owner's queue until it was admitted, and was rejected only then, although its host knew before that it could not be served.

Change: a new rejection ends the wait of the requests it applies to, by the way that a stopping host uses. check_prompt holds what stands before the choice of a replica.

--- a/src/filbertyard/exceptions.py
+++ b/src/filbertyard/exceptions.py
@@ -137,8 +137,8 @@
         self.code = code
 
 
-class HostStoppingError(FilbertyardError):
-    """A request that still waits while its host is about to exit."""
+class AdmissionWithdrawnError(FilbertyardError):
+    """A request whose wait for admission its host has ended; the message says why."""
 
 
 class NotOwnerError(FilbertyardError):
--- a/src/filbertyard/gateway/entry.py
+++ b/src/filbertyard/gateway/entry.py
@@ -13,10 +13,10 @@
 import gevent
 
 from ..callerserver import HANDLER_KEY
+from ..exceptions import AdmissionWithdrawnError
 from ..exceptions import BodyTimeoutError
 from ..exceptions import BodyTooLargeError
 from ..exceptions import CallerDisconnectedError
-from ..exceptions import HostStoppingError
 from ..exceptions import RequestError
 from ..logs import log_event
 from ..metrics import Metrics
@@ -65,6 +65,9 @@
 # first, as other requests with the same parts wait for its outcome.
 PROBE_RANK = -1
 
+# Cause of the rejection of a prompt that crashes replicas.
+PROMPT_REJECTED = "prompt_crashes_replicas"
+
 # Limit on the size of bodies while no configuration is known.
 DEFAULT_MAX_BODY_BYTES = 1 << 22
 
@@ -119,7 +122,8 @@
         self.is_stopping = False
         self.accepts_requests = True
         self.admits_requests = True
-        self.awaiting_admission: set[Any] = set()
+        self.awaiting_admission: dict[Any, Delivery] = {}
+        guard.on_rejection = self.withdraw_rejected
         self.random = random.Random()
 
     def __call__(
@@ -232,16 +236,10 @@
         is_adapter_absent = False
         may_have_run = False
         while self.admits_requests and delivery.event_timeout_left_s() > 0:
-            rejection = self.guard.find_rejection(delivery)
-            if rejection is not None:
-                delivery.causes.append("prompt_crashes_replicas")
-                retry_after_s = rejection.until - time.monotonic()
+            prompt_retry_s = self.check_prompt(delivery)
+            if prompt_retry_s is not None:
+                retry_after_s = prompt_retry_s
                 break
-            if not self.guard.await_turn(delivery):
-                if self.guard.find_rejection(delivery) is None:
-                    delivery.causes.append("prompt_suspected")
-                    break
-                continue
             found = [
                 candidate
                 for candidate in self.owners.candidates(service, name)
@@ -321,6 +319,19 @@
             return self.respond_unknown(delivery)
         return self.reject_not_run(delivery, retry_after_s)
 
+    def check_prompt(self, delivery: Delivery) -> float | None:
+        """Wait until a prompt may be sent; return when to retry one that may not."""
+        rejection = self.guard.find_rejection(delivery)
+        if rejection is None:
+            if self.guard.await_turn(delivery):
+                return None
+            rejection = self.guard.find_rejection(delivery)
+        if rejection is None:
+            delivery.causes.append("prompt_suspected")
+            return DEFAULT_RETRY_AFTER_S
+        delivery.causes.append(PROMPT_REJECTED)
+        return rejection.until - time.monotonic()
+
     def request_admission(
         self,
         delivery: Delivery,
@@ -346,26 +357,36 @@
             is_adapter_absent=is_adapter_absent,
         )
         greenlet = gevent.getcurrent()
-        self.awaiting_admission.add(greenlet)
+        self.awaiting_admission[greenlet] = delivery
         try:
             return self.owners.request_admission(message, left_s)
         except BaseException as error:
             self.owners.report_finished(
                 candidate.replica, message.request_id, "withdrawn"
             )
-            if not isinstance(error, HostStoppingError):
+            if not isinstance(error, AdmissionWithdrawnError):
                 raise
             return AdmissionRejected(
-                message.request_id, "host_stopping", STOPPING_RETRY_AFTER_S
+                message.request_id, error.message, STOPPING_RETRY_AFTER_S
             )
         finally:
-            self.awaiting_admission.discard(greenlet)
+            del self.awaiting_admission[greenlet]
 
     def stop_admission(self) -> None:
         """Reject the requests that still wait, before this host exits."""
         self.admits_requests = False
-        for greenlet in list(self.awaiting_admission):
-            error = HostStoppingError("host stops", step="await admission", peer="")
+        self.withdraw("host_stopping", list(self.awaiting_admission))
+
+    def withdraw_rejected(self) -> None:
+        """Reject the waiting requests whose prompts are rejected by now."""
+        waiting = self.awaiting_admission.items()
+        rejected = [key for key, item in waiting if self.guard.find_rejection(item)]
+        self.withdraw(PROMPT_REJECTED, rejected)
+
+    def withdraw(self, cause: str, greenlets: list[Any]) -> None:
+        """End the wait of requests for admission."""
+        for greenlet in greenlets:
+            error = AdmissionWithdrawnError(cause, step="await admission", peer="")
             gevent.kill(greenlet, error)
 
     def send_admitted(
--- a/src/filbertyard/gateway/promptguard.py
+++ b/src/filbertyard/gateway/promptguard.py
@@ -4,6 +4,7 @@
 
 import logging
 import time
+from collections.abc import Callable
 from collections.abc import Iterable
 from dataclasses import replace
 
@@ -51,7 +52,10 @@
 
 
 class PromptGuard:
-    """What one host does about prompts that crash replicas."""
+    """What one host does about prompts that crash replicas.
+
+    `on_rejection` is called when a combination of parts is rejected from now on.
+    """
 
     def __init__(
         self,
@@ -69,6 +73,7 @@
         self.metrics = metrics
         self.gate = ProbeGate(self.suspects, self.is_rejected)
         self.probes: dict[str, tuple[str, frozenset[str]]] = {}
+        self.on_rejection: Callable[[], None] = lambda: None
         peers.handle(PromptCrash, self.handle_crash)
         peers.handle(PromptCleared, self.handle_cleared)
         peers.handle(ProbeRequest, self.handle_probe_request)
@@ -238,6 +243,7 @@
                 rejection_s=message.rejection_s,
                 source=peer,
             )
+            self.on_rejection()
         self.gate.changed.set()
 
     def handle_cleared(self, peer: str, message: PromptCleared) -> None:
--- a/tests/test_gateway_prompts.py
+++ b/tests/test_gateway_prompts.py
@@ -5,6 +5,7 @@
 import gevent
 import pytest
 
+from filbertyard.gateway.messages import PromptCrash
 from filbertyard.platform.standins import ReplicaStandin
 from gatewayfleet import GatewayFleet
 from gatewayfleet import Reply
@@ -108,3 +109,26 @@
         wait_until(lambda: send(fleet, "system", "session", host=1).status == 200, 60.0)
     assert not any(host.state.quarantine.rejections for host in fleet.hosts)
     assert not any(host.state.quarantine.suspicions for host in fleet.hosts)
+
+
+def test_waiting_requests_are_rejected_as_soon_as_their_prompt_is(
+    fleet: GatewayFleet,
+) -> None:
+    """Guards against holding a request that cannot be served until its admission."""
+    host = fleet.hosts[0]
+    for replica in fleet.replicas:
+        replica.faults.hang_s = 60.0
+    running = [gevent.spawn(send, fleet, "system", "session") for _ in range(24)]
+    wait_until(lambda: sum(len(replica.runs) for replica in fleet.replicas) >= 8)
+    waiting = gevent.spawn(send, fleet, "system", HARMFUL)
+    wait_until(
+        lambda: any(
+            HARMFUL in delivery.request.prompt_parts
+            for delivery in host.entry.awaiting_admission.values()
+        )
+    )
+    host.guard.publish(PromptCrash("e0/1", [], [HARMFUL], 60.0))
+    reply = waiting.get(timeout=20.0)
+    assert reply.status == 503
+    assert b"prompt_crashes_replicas" in reply.body
+    gevent.killall(running)
