--- a/src/filbertyard/gateway/promptguard.py
+++ b/src/filbertyard/gateway/promptguard.py
@@ -234,7 +234,7 @@
         self.quarantine.suspect(message.parts, message.incarnation, now)
         if message.rejected:
             rejected = frozenset(message.rejected)
-            self.quarantine.convict(rejected, now + message.rejection_s)
+            self.quarantine.reject_culprits(rejected, now + message.rejection_s)
             log_event(
                 logger,
                 "prompt_rejected",
--- a/src/filbertyard/gateway/quarantine.py
+++ b/src/filbertyard/gateway/quarantine.py
@@ -1,4 +1,4 @@
-"""Prompts that crash replicas: suspected parts, and combinations of them to reject.
+"""Prompts that crash replicas ("queries of death"): what to suspect and to reject.
 
 It covers a flood of requests that share one harmful part of their prompts, beside sound
 requests that share the other parts, and replicas that end for reasons of their own. A
@@ -27,7 +27,6 @@
 # Bounds on the state; the oldest entries are dropped.
 MAX_SUSPECTS = 2048
 MAX_REJECTIONS = 512
-
 MAX_EXPLAINED = 512
 
 # Ended replicas remembered for each suspect.
@@ -55,7 +54,11 @@
 
 
 class Quarantine:
-    """Suspected and rejected parts of prompts; `now` is on the monotonic clock."""
+    """Suspected and rejected parts of prompts; `now` is on the monotonic clock.
+
+    `explained` holds the incarnations of replicas whose end is known to come from a
+    rejected combination.
+    """
 
     def __init__(self) -> None:
         self.suspicions: dict[str, Suspicion] = {}
@@ -129,7 +132,7 @@
                 return frozenset()
         return frozenset(part for part in probed if part in repeated)
 
-    def convict(self, parts: frozenset[str], until: float) -> None:
+    def reject_culprits(self, parts: frozenset[str], until: float) -> None:
         """Reject a combination, and clear what else its replicas made suspects."""
         ended: dict[str, None] = {}
         for part in parts & self.suspicions.keys():
--- a/tests/test_gateway_quarantine.py
+++ b/tests/test_gateway_quarantine.py
@@ -19,7 +19,7 @@
     quarantine.suspect(prompt, replica, 1.0)
     culprits = quarantine.culprits(probed, replica)
     if culprits:
-        quarantine.convict(culprits, 1.0 + quarantine.rejection_s(culprits))
+        quarantine.reject_culprits(culprits, 1.0 + quarantine.rejection_s(culprits))
 
 
 def test_the_second_replica_that_a_part_ends_is_the_last() -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -9,8 +9,12 @@
 
 from soak import Soak
 
-# One short run for CI; add each seed that failed, with its cause.
-SEEDS = {1: "short run"}
+# Short runs for CI; add each seed that failed, with its cause.
+SEEDS = {
+    1: "a leaving replica, then the store away",
+    2: "a harmful prompt part while hosts stop in turn",
+    3: "a leaving replica beside a harmful prompt part",
+}
 
 FAULTS_PER_RUN = 8
 
