Keep the soak from leaving processes behind, and judge harmful prompts strictly

Cause: two overlapping restarts of one host both started a process, as starting one yields before it is recorded, and the first was lost; it lived on after its run and reached a later run's store at a port that was used again.

A link closed connections that were idle for 2 s, since the time limit for connecting stayed in force; the watches of quiet feeds broke all the time.

The check of harmful prompts left out all times near any fault, and with them everything on, where 6 to 16 replicas ended.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -18,6 +18,7 @@
 from typing import Any
 
 import gevent
+from gevent.lock import BoundedSemaphore
 from gevent.server import StreamServer
 
 from filbertyard.platform.standins import PlatformStoreStandin
@@ -97,6 +98,8 @@
         except OSError:
             sock.close()
             return
+        # The time limit is for connecting; an idle connection stays open.
+        target_sock.settimeout(None)
         socks = {sock, target_sock}
         self.sockets |= socks
         response_task = gevent.spawn(self.copy, target_sock, sock, True)
@@ -137,6 +140,13 @@
     directory_address: str
     popen: subprocess.Popen[bytes] | None = None
     is_paused: bool = False
+    lock: BoundedSemaphore = field(default_factory=BoundedSemaphore)
+
+    def restart(self, previous: subprocess.Popen[bytes] | None) -> None:
+        """Start the program again unless another restart did since `previous`."""
+        with self.lock:
+            if self.popen is previous:
+                self.start()
 
     def start(self) -> None:
         """Start the gateway program."""
@@ -188,10 +198,12 @@
     processes: list[Process] = field(default_factory=list)
     calls: list[Call] = field(default_factory=list)
     caller_tasks: list[Any] = field(default_factory=list)
+    restarts: list[Any] = field(default_factory=list)
     injected_faults: list[str] = field(default_factory=list)
     orders: dict[str, list[tuple[float, dict]]] = field(default_factory=dict)
     hosts: int = HOSTS
     disturbances: list[tuple[float, float]] = field(default_factory=list)
+    pauses: list[tuple[float, float]] = field(default_factory=list)
     drains: list[tuple[str, float, float]] = field(default_factory=list)
     harmful_part: str = ""
     crash_times: dict[str, list[float]] = field(default_factory=dict)
@@ -248,6 +260,10 @@
         """Tell if a fault or what follows it overlaps with a time."""
         return any(first < end and start < last for first, last in self.disturbances)
 
+    def is_paused(self, start: float, end: float) -> bool:
+        """Tell if a host that was paused may not have heard the others at a time."""
+        return any(first < end and start < last for first, last in self.pauses)
+
     def list_replica(self, replica: ReplicaStandin, state: str = "ready") -> None:
         """Write the replica's store entry with the address of its link."""
         entry = {**replica.entry(state), "address": self.links[replica.id].address}
@@ -358,11 +374,17 @@
             FAULTS[name](self, rng)
             gevent.sleep(rng.uniform(0.2, 2.0))
         gevent.sleep(STABLE_S)
+        self.end_restarts()
         self.end_faults()
         wait_until(lambda: self.send("desk", 0).status == 200, RECOVERY_TIMEOUT_S)
         wait_until(lambda: self.send("a1", 1).status == 200, RECOVERY_TIMEOUT_S)
         gevent.killall(self.caller_tasks)
 
+    def end_restarts(self) -> None:
+        """Wait for restarts; killing one could leave the process that it started."""
+        gevent.joinall(self.restarts, timeout=60.0)
+        assert all(restart.ready() for restart in self.restarts)
+
     def end_faults(self) -> None:
         """End all faults and restart processes that are down."""
         self.store.faults.unavailable = False
@@ -382,6 +404,9 @@
     def stop(self) -> None:
         """Stop the processes, links and stand-ins of this run."""
         gevent.killall(self.caller_tasks)
+        for process in self.processes:
+            process.signal(signal.SIGCONT)
+        self.end_restarts()
         for process in self.processes:
             process.signal(signal.SIGCONT)
             process.signal(signal.SIGKILL)
@@ -441,7 +466,7 @@
                 for call in self.calls
                 if call.harmful_part == part
                 for run in runs.get(call.id, [])
-                if run["at"] > limit and not self.is_disturbed(limit, run["at"])
+                if run["at"] > limit and not self.is_paused(limit, run["at"])
             ]
             if len(late) > MAX_LATE_HARMFUL:
                 found.append(f"{len(late)} requests with {part} reached replicas late")
@@ -500,6 +525,7 @@
     process = rng.choice(soak.processes)
     pause_s = rng.uniform(0.5, 5.0)
     soak.disturb(pause_s)
+    soak.pauses.append(soak.disturbances[-1])
     process.signal(signal.SIGSTOP)
     gevent.spawn_later(pause_s, process.signal, signal.SIGCONT)
 
@@ -511,8 +537,7 @@
     popen = process.popen
     wait_until(lambda: popen is None or popen.poll() is not None, 15.0)
     gevent.sleep(delay_s)
-    if process.popen is popen:
-        process.start()
+    process.restart(popen)
 
 
 @fault
@@ -520,9 +545,7 @@
     """Kill a process and restart it, beside what follows."""
     process, delay_s = rng.choice(soak.processes), rng.uniform(0.0, 0.5)
     soak.disturb(delay_s)
-    soak.caller_tasks.append(
-        gevent.spawn(restart_host, process, signal.SIGKILL, delay_s)
-    )
+    soak.restarts.append(gevent.spawn(restart_host, process, signal.SIGKILL, delay_s))
 
 
 @fault
@@ -532,7 +555,7 @@
     stopped = rng.sample(soak.processes, rng.randrange(1, len(soak.processes) + 1))
     soak.disturb(len(stopped) * gap_s + 8.0)
     for index, process in enumerate(stopped):
-        soak.caller_tasks.append(
+        soak.restarts.append(
             gevent.spawn_later(
                 index * gap_s, restart_host, process, signal.SIGTERM, 0.1
             )
