Log whether a response had neither a length nor chunks

The logs could not tell how a replica framed its response, so a stream without framing that a crash ended between two events looked like any other served one. The line of a request now has unframed=True for these. No other behaviour changes.

--- a/src/filbertyard/gateway/entry.py
+++ b/src/filbertyard/gateway/entry.py
@@ -616,6 +616,7 @@
             longest_gap_s=delivery.longest_gap_s or None,
             absent=delivery.was_absent or None,
             rate_limit=delivery.named_rate(),
+            unframed=delivery.is_unframed or None,
             admission_attempts=delivery.admission_attempts or None,
             sends=delivery.sends,
             replicas=",".join(delivery.replicas),
--- a/src/filbertyard/gateway/sending.py
+++ b/src/filbertyard/gateway/sending.py
@@ -223,6 +223,7 @@
                 status=head.status,
                 code="foreign_answer" if is_foreign else "unsigned",
             )
+        delivery.is_unframed = not response.is_framed
         self.record_rate_limit(delivery, replica, head)
         if head.running >= 0:
             self.reported_loads[replica.id] = (now, head.running + head.waiting)
