Pass responses without a length on without one

Cause: a response with neither a length nor chunks ends with its connection, so nobody but its replica knows whether it is whole. The gateway gave it a last chunk or a Content-Length, and so vouched for an end that it can't know. Looking for the end of an event finds only crashes inside events; a body has no such end at all. A reset was an error before and still is.

Change: the caller gets such a response as it came, with Connection: close and no framing, and with a reset where the replica's connection was reset or an event was cut. A stream that began with chunks and goes on at another replica without any counts as broken at its end, and is resumed where the route allows. abort() resets the connection wherever its response has no framing, also for HTTP/1.0.

--- a/src/filbertyard/callerserver.py
+++ b/src/filbertyard/callerserver.py
@@ -16,6 +16,7 @@
 
 from .exceptions import CallerDisconnectedError
 from .problems import ProblemDetails
+from .sockets import reset_when_closed
 
 HANDLER_KEY = "filbertyard.handler"
 
@@ -123,6 +124,7 @@
         self.caller_server = server
         self.request_count = 0
         self.should_linger = False
+        self.should_frame = True
         self.write_buffer: bytearray | None = None
 
     def handle(self) -> None:
@@ -198,10 +200,27 @@
         body.chunked_input = False
         body.content_length = body.position
 
+    def omit_framing(self) -> None:
+        """Send the response without a length and chunks; its connection ends it."""
+        self.should_frame = False
+        self.close_connection = True
+
+    def finalize_headers(self) -> None:
+        """Add the framing of the response unless it has none."""
+        if not self.should_frame:
+            # With a length from the application, gevent adds no framing of its own.
+            self.provided_content_length = "none"
+        super().finalize_headers()
+
     def abort(self) -> None:
         """Close the connection at once, so that its response cannot look complete."""
         self.close_connection = True
         self.status = None
+        has_length = self.should_frame and self.provided_content_length is not None
+        if self.headers_sent and not (has_length or self.response_use_chunked):
+            # An orderly close is the proper end of such a response.
+            reset_when_closed(self.socket)
+            return
         # Otherwise gevent sends the last chunk, and the body looks complete.
         self.response_use_chunked = False
         try:
--- a/src/filbertyard/gateway/delivery.py
+++ b/src/filbertyard/gateway/delivery.py
@@ -51,8 +51,8 @@
     `has_begun` tells if the last replica that got the request sent an event.
     `sent_at` is when the last one was sent. `permit_until` is when the permit for a
     rate-limited replica ends, on the boot clock; `rate_limit` is what the last response
-    showed of the replica's rate limit, `is_unframed` that it had neither a length nor
-    chunks.
+    showed of the replica's rate limit. `is_framed` tells that the response to the
+    caller has a length or chunks.
     """
 
     request: GatewayRequest
@@ -62,6 +62,7 @@
     version: int
     write: Callable[[bytes], None] | None = None
     status: int = 0
+    is_framed: bool = False
     last_event: str = ""
     has_begun: bool = False
     first_event_at: float = 0.0
@@ -77,7 +78,6 @@
     sent_at: float = 0.0
     permit_until: float = math.inf
     rate_limit: Statement | None = None
-    is_unframed: bool = False
     replicas: list[str] = field(default_factory=list)
     causes: list[str] = field(default_factory=list)
 
--- a/src/filbertyard/gateway/entry.py
+++ b/src/filbertyard/gateway/entry.py
@@ -616,7 +616,7 @@
             longest_gap_s=delivery.longest_gap_s or None,
             absent=delivery.was_absent or None,
             rate_limit=delivery.named_rate(),
-            unframed=delivery.is_unframed or None,
+            unframed=(delivery.write is not None and not delivery.is_framed) or None,
             admission_attempts=delivery.admission_attempts or None,
             sends=delivery.sends,
             replicas=",".join(delivery.replicas),
--- a/src/filbertyard/gateway/sending.py
+++ b/src/filbertyard/gateway/sending.py
@@ -223,7 +223,6 @@
                 status=head.status,
                 code="foreign_answer" if is_foreign else "unsigned",
             )
-        delivery.is_unframed = not response.is_framed
         self.record_rate_limit(delivery, replica, head)
         if head.running >= 0:
             self.reported_loads[replica.id] = (now, head.running + head.waiting)
@@ -260,8 +259,9 @@
             response.deadline = time.monotonic() + delivery.left_s()
         body = response.read()
         headers = self.wire.response_headers(response.headers)
-        headers.append(("Content-Length", str(len(body))))
-        self.send_head(delivery, response.status, headers)
+        if response.is_framed:
+            headers.append(("Content-Length", str(len(body))))
+        self.send_head(delivery, response, headers)
         self.send_body(delivery, body)
 
     def deliver_stream(
@@ -283,7 +283,7 @@
                 self.on_first_event(delivery, replica.id)
             if delivery.write is None:
                 delivery.first_event_at = now
-                self.send_head(delivery, response.status, headers)
+                self.send_head(delivery, response, headers)
             tail = (tail + part)[-MAX_EVENT_END_BYTES:]
             if not delivery.route.is_resumable:
                 self.send_body(delivery, part)
@@ -302,20 +302,36 @@
             if found:
                 delivery.last_event = found[-1].decode("latin-1")
             self.send_body(delivery, events)
-        if not response.is_framed and not tail.endswith(EVENT_ENDS):
-            # The end of the connection is then the only end of the response.
-            raise stream_error("the stream ended inside an event", replica)
+        if not response.is_framed:
+            if not tail.endswith(EVENT_ENDS):
+                raise stream_error("the stream ended inside an event", replica)
+            if delivery.is_framed:
+                # The last chunk would state an end that only the replica can know.
+                raise stream_error("the end of the stream is not known", replica)
         if delivery.write is None:
-            self.send_head(delivery, response.status, headers)
+            self.send_head(delivery, response, headers)
         self.send_body(delivery, pending)
 
     def send_head(
-        self, delivery: Delivery, status: int, headers: list[tuple[str, str]]
+        self,
+        delivery: Delivery,
+        response: HttpResponse,
+        headers: list[tuple[str, str]],
     ) -> None:
-        """Set the head of the response; it is sent with the first part of the body."""
+        """Set the head of the response; it is sent with the first part of the body.
+
+        A response that its replica did not frame is not framed for the caller either:
+        the length or the last chunk would state that it is complete.
+        """
+        status = response.status
         phrase = REASON_PHRASES.get(status, "Unknown")
         delivery.status = status
+        delivery.is_framed = response.is_framed
         self.prepare_head(headers)
+        if not delivery.is_framed:
+            delivery.handler.omit_framing()
+            if ("Connection", "close") not in headers:
+                headers.append(("Connection", "close"))
         delivery.write = delivery.start_response(f"{status} {phrase}", headers)
 
     def send_body(self, delivery: Delivery, data: bytes) -> None:
--- a/src/filbertyard/httpcalls.py
+++ b/src/filbertyard/httpcalls.py
@@ -35,6 +35,9 @@
 
 MIN_FINAL_STATUS = 200
 
+# Responses with these statuses end with their head.
+BODILESS_STATUSES = (204, 304)
+
 # Heads, chunk sizes and trailers of a response may add up to this many bytes, and for
 # each byte of its body to this many more. The parser itself sets no limit.
 MAX_FRAMING_BYTES = 64 * 1024
@@ -122,8 +125,12 @@
     @property
     def is_framed(self) -> bool:
         """Tell if the body has a length or chunks; else it ends with the connection."""
-        framing = ("content-length", "transfer-encoding")
-        return any(key.lower() in framing for key, _ in self.headers)
+        if self.status in BODILESS_STATUSES or self.raw.method == "HEAD":
+            return True
+        encoding = self.header("Transfer-Encoding").lower()
+        if encoding:
+            return encoding.rpartition(",")[2].strip() == "chunked"
+        return bool(self.header("Content-Length"))
 
     def read(self) -> bytes:
         """Return the whole body; raise UpstreamError if it is cut short or endless."""
