Let only events follow a stream that has begun

Cause: only a status from 500 on was looked at; any other signed response was delivered as a new one, over the head that the caller already had.

Evidence: test_an_error_after_a_broken_stream_is_no_part_of_it failed for 404, 206, 201 and 204, and passed for 400 and 503 with Not-Executed and for 500. After the change all pass: the attempt counts as unknown, the stream goes on at a third replica where the route allows, and else is cut.

--- a/src/filbertyard/gateway/sending.py
+++ b/src/filbertyard/gateway/sending.py
@@ -242,12 +242,15 @@
             cause = "absent" if head.is_adapter_absent else "full"
             return Attempt("not_run", replica.id, cause, head.is_adapter_absent)
         failed = head.status >= 500
-        if failed and (not is_last or delivery.write is not None):
+        is_stream = delivery.route.kind == "stream" and head.status == 200
+        # The caller has the head of a stream, which only more events can follow.
+        is_out_of_place = delivery.write is not None and not is_stream
+        if is_out_of_place or (failed and not is_last):
             response.read()
-            self.health.record_outcome(replica.id, True, now)
+            self.health.record_outcome(replica.id, failed, now)
             return Attempt("unknown", replica.id, f"status_{head.status}")
         self.health.record_outcome(replica.id, failed, now)
-        if delivery.route.kind == "stream" and head.status == 200:
+        if is_stream:
             self.deliver_stream(delivery, replica, response)
         else:
             self.deliver_buffered(delivery, response)
