Take a refusal for that of a request only if it surely is

Cause: a response without an id was taken for that of the request. On a kept connection it may be an earlier one. With the same id, it may be the refusal of an earlier send of the same request to the same replica. A refusal with another id was an error already, and still is.

Change: on a connection that carried a response before, only a response with the request's own id counts; any other closes the connection, and the outcome is unknown. A request that goes to the same replica again gets a new connection.

--- a/src/filbertyard/gateway/sending.py
+++ b/src/filbertyard/gateway/sending.py
@@ -125,6 +125,8 @@
             request_timeout_s = min(left_s, max(silence_timeout_s, left_s / 3))
         if left_s <= 0:
             return Attempt("not_run", replica.id, "deadline")
+        # On a kept connection, a repeated response to the first send has the same id.
+        is_sent_again = replica.id in delivery.replicas
         delivery.sends += 1
         delivery.has_begun = False
         delivery.rate_limit = None
@@ -138,6 +140,7 @@
                 request.target,
                 request.body,
                 headers,
+                new_connection=is_sent_again,
                 timeout_s=request_timeout_s,
                 may_send=lambda: (
                     self.is_usable(replica.id) and boot_clock() < delivery.permit_until
@@ -211,7 +214,9 @@
         """Check the head of a response and deliver it; raise UpstreamError."""
         now = time.monotonic()
         request = delivery.request
-        is_foreign = head.request_id not in ("", request.id)
+        # A response without an id on a kept connection may be an earlier one, repeated.
+        own_ids = ("", request.id) if response.is_first else (request.id,)
+        is_foreign = head.request_id not in own_ids
         if is_foreign or not (head.is_signed or head.is_not_run):
             # The responses to later requests may follow on the same connection.
             response.discard()
--- a/src/filbertyard/httpcalls.py
+++ b/src/filbertyard/httpcalls.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 from typing import Any
+from weakref import WeakKeyDictionary
 
 import gevent
 import gevent.socket
@@ -104,7 +105,8 @@
     """A response whose body is read from `parts`.
 
     `deadline` on the monotonic clock bounds the reading of the whole body. `sock` is
-    its connection, which is in the pool again once the body is complete.
+    its connection, which is in the pool again once the body is complete;
+    `is_first` tells that it carried no response before.
     """
 
     status: int
@@ -113,6 +115,7 @@
     peer: str = ""
     deadline: float | None = None
     sock: Any = field(default=None, repr=False)
+    is_first: bool = True
 
     def header(self, name: str, default: str = "") -> str:
         """Return the first header `name`."""
@@ -236,7 +239,8 @@
         self.port = int(port)
         self.timeout_s = timeout_s
         self.max_idle_s = max_idle_s
-        self.idle_since: dict[int, float] = {}
+        # Connections that carried a response, and when the last one ended.
+        self.idle_since: WeakKeyDictionary[Any, float] = WeakKeyDictionary()
         self.client = self.create_client(concurrency)
 
     def create_client(self, concurrency: int) -> HTTPClient:
@@ -269,14 +273,14 @@
         """Wrap `return_socket` to record when a connection becomes idle."""
 
         def record(sock: Any) -> None:
-            self.idle_since[id(sock)] = time.monotonic()
+            self.idle_since[sock] = time.monotonic()
             return_socket(sock)
 
         return record
 
     def is_reusable(self, sock: Any) -> bool:
         """Return whether a kept connection may be used for another request."""
-        since = self.idle_since.pop(id(sock), 0.0)
+        since = self.idle_since.get(sock, 0.0)
         return time.monotonic() - since <= self.max_idle_s and is_idle(sock)
 
     def request(
@@ -329,6 +333,7 @@
                 sent=False,
                 code=WITHDRAWN,
             )
+        is_first = sock not in self.idle_since
         limit_s = timeout_s if timeout_s is not None else self.timeout_s
         sock.settimeout(limit_s)
         try:
@@ -354,7 +359,12 @@
             ) from error
         response_headers = [(str(key), str(value)) for key, value in raw.headers]
         return HttpResponse(
-            raw.status_code, response_headers, raw, self.address, sock=sock
+            raw.status_code,
+            response_headers,
+            raw,
+            self.address,
+            sock=sock,
+            is_first=is_first,
         )
 
     def json(
--- a/src/filbertyard/platform/standins.py
+++ b/src/filbertyard/platform/standins.py
@@ -219,7 +219,9 @@
     `harmful_part` in its prompt crashes the replica. Each item of `raw` is sent instead
     of a response, before the connection ends, with a reset if its last part is `RESET`;
     `SIGNED_HEAD` begins a valid one.
-    `late_copy` sends a second copy of a response when the next request is there. Orders
+    `late_copy` sends a second copy of a response when the next request is there,
+    `late_refusal` an earlier refusal on a kept connection: with the id of the next
+    request if it is `own`, without one if it is empty, else with the given id. Orders
     that `lose_orders` drops collect in `lost_orders`, so that a test can apply them
     late.
     """
@@ -236,6 +238,7 @@
     foreign: int = 0
     extra_response: int = 0
     late_copy: int = 0
+    late_refusal: str | None = None
     lose_orders: int = 0
     lost_orders: list[dict[str, Any]] = field(default_factory=list)
 
@@ -305,7 +308,7 @@
         target = environ.get("HTTP_TARGET_INSTANCE", self.id)
         body = read_body(environ)
         if target != self.id:
-            return self.reject_misdirected(start_response)
+            return self.reject_misdirected(environ, start_response)
         path = environ["PATH_INFO"]
         if path == "/api/report":
             return send_json(start_response, self.report())
@@ -313,9 +316,12 @@
             return self.handle_order(environ, json.loads(body), start_response)
         return self.handle_request(environ, body, start_response)
 
-    def reject_misdirected(self, start_response: StartResponse) -> list[bytes]:
+    def reject_misdirected(
+        self, environ: Environ, start_response: StartResponse
+    ) -> list[bytes]:
         """Answer with status 421, as this replica can't serve the request."""
         headers = [("Instance-Id", self.id), ("Content-Length", "0")]
+        headers.append(("Request-Id", environ.get("HTTP_REQUEST_ID", "")))
         start_response("421 Misdirected Request", headers)
         return [b""]
 
@@ -402,10 +408,14 @@
         version = int(environ.get("HTTP_EXPECTED_VERSION", "0"))
         resident_version = self.adapters.get(name, 0)
         if name and (not resident_version or (version and resident_version != version)):
-            return self.reject_misdirected(start_response)
+            return self.reject_misdirected(environ, start_response)
+        handler = environ["standin.handler"]
+        is_kept = getattr(handler, "is_kept", False)
+        handler.is_kept = True
         if faults.reject > 0:
             faults.reject -= 1
             headers = [("Not-Executed", "1"), ("Content-Length", "0")]
+            headers.append(("Request-Id", environ.get("HTTP_REQUEST_ID", "")))
             start_response("503 Service Unavailable", headers)
             return [b""]
         self.runs.append(
@@ -421,6 +431,8 @@
                 "at": time.monotonic(),
             }
         )
+        if is_kept and faults.late_refusal is not None:
+            self.send_late_refusal(environ)
         if faults.hang_s:
             gevent.sleep(faults.hang_s)
         if faults.harmful_part and faults.harmful_part in environ.get(
@@ -436,6 +448,18 @@
             return break_connection(environ)
         return self.respond(environ, name, start_response)
 
+    def send_late_refusal(self, environ: Environ) -> None:
+        """Send an earlier refusal of a kept connection ahead of the response."""
+        request_id = self.faults.late_refusal or ""
+        if request_id == "own":
+            request_id = environ.get("HTTP_REQUEST_ID", "")
+        id_line = f"Request-Id: {request_id}\r\n" if request_id else ""
+        head = f"HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\n{id_line}"
+        self.faults.late_refusal = None
+        send_raw(environ, [f"{head}Content-Length: 0\r\n\r\n".encode()])
+        # The response itself is in another segment.
+        gevent.sleep(0.05)
+
     def respond(
         self, environ: Environ, name: str, start_response: StartResponse
     ) -> Iterable[bytes]:
