Order revisions of the store by the writes that it has lost

What callers saw: after the store came back from a copy, a change that it acknowledged was not in force until its revisions had passed those of before, so requests were handled by an older version and added routes were not served.

Cause: a revision was compared as a number wherever one is stored, sent or logged, but it orders writes only between two losses. Class: an identifier used outside the scope in which it is unique.

What the copy holds is then not newer by content: a configuration, an announced version, an incarnation and a leaving replica never come back older; a removed replica counts once it writes again; what the copy lacks is kept as after an outage; what peers push from before is ignored, and hosts without the store follow their peers. A host takes a new lease, as its id may be another's.

The test of hanging watches now looks at HttpPeer.exchange, through which the calls go.

--- a/src/filbertyard/gateway/claims.py
+++ b/src/filbertyard/gateway/claims.py
@@ -19,8 +19,10 @@
 from ..keyvalue import KeyValue
 from ..keyvalue import Put
 from ..keyvalue import Write
+from ..keyvalue import local_revision
 from ..logs import log_event
 from .claimtable import HOST_LEASE_S
+from .claimtable import HOST_LOSS_TIMEOUT_S
 from .claimtable import ClaimDecision
 from .claimtable import ClaimTable
 from .claimtable import claim_cause
@@ -78,6 +80,8 @@
         self.claim_table = claim_table
         self.reachable = reachable
         self.lease = 0
+        # The generation of the store that the lease and the claims belong to.
+        self.generation = 0
         self.is_registered = False
         self.written_record: HostRecord | None = None
         self.started_at = boot_clock()
@@ -116,17 +120,24 @@
         if self.lease and self.store.lease_keepalive(self.lease) <= 0:
             log_event(logger, "host_lease_ended", level=logging.WARNING)
             self.lease = 0
+        generation = self.store.generation
+        if generation != self.generation:
+            # The lease is gone, and its id may be that of another host's lease now.
+            self.lease = 0
         if not self.lease:
             self.lease = self.store.lease_grant(HOST_LEASE_S)
             self.written_record = None
         known = self.state.hosts.get(record.id)
         if self.written_record != record or known != record:
             self.write_record(record)
-        if (
+        if generation != self.generation:
+            self.restore_claims()
+        elif (
             not self.is_registered
             or sent_at - self.claim_table.renewed_at > MAX_RENEWAL_GAP_S
         ):
             self.verify_claims()
+        self.generation = generation
         self.claim_table.renew(sent_at)
         if not self.is_registered:
             self.is_registered = True
@@ -161,12 +172,59 @@
             revision=found.revision,
         )
 
+    def restore_claims(self) -> None:
+        """Write owner records again that the store has lost; raise KeyValueError."""
+        found = self.store.range(OWNER_PREFIX, prefix=True)
+        items = {item.key: item for item in found.items}
+        record = self.record()
+        now = boot_clock()
+        before = len(self.claim_table.claims)
+        may_have_successor = not self.claim_table.is_valid(now)
+        for replica, claim in list(self.claim_table.claims.items()):
+            item = items.get(OWNER_PREFIX + replica)
+            wait_s = max(0.0, claim.not_before - now)
+            if may_have_successor:
+                # Another host may have taken over in writes that are lost.
+                wait_s = HOST_LOSS_TIMEOUT_S + self.claim_table.takeover_wait_s()
+            elif item is not None and is_write_of(item, claim.fence, record):
+                self.claim_table.confirm(replica, item.mod_revision)
+                continue
+            fence = self.write_owner(replica, item.mod_revision if item else 0, wait_s)
+            if fence:
+                self.claim_table.add(replica, fence, now, wait_s)
+            else:
+                del self.claim_table.claims[replica]
+                log_event(logger, "claim_lost", replica=replica)
+        log_event(
+            logger,
+            "claims_restored",
+            kept=len(self.claim_table.claims),
+            dropped=before - len(self.claim_table.claims) or None,
+            revision=found.revision,
+        )
+
+    def is_contested(self, replica: str, now: float) -> bool:
+        """Tell if a host may own a replica through a record that the store has lost."""
+        if now - self.state.writes_lost_at >= HOST_LOSS_TIMEOUT_S:
+            return False
+        former = self.state.former_owners.get(replica)
+        if former is None or former.host == self.record().id:
+            return False
+        owner = self.state.owners.get(replica)
+        return owner is None or (owner.host, owner.instance) != (
+            former.host,
+            former.instance,
+        )
+
     def run_claims(self) -> None:
         """Claim replicas without an owner, forever."""
         while True:
             is_new = boot_clock() - self.started_at < STARTUP_CLAIM_DELAY_S
             gevent.sleep(STARTUP_CLAIM_INTERVAL_S if is_new else CLAIM_INTERVAL_S)
             record = self.record()
+            if self.generation != self.store.generation:
+                # `restore_claims` decides which claims are still valid.
+                continue
             self.claim_table.drop_unconfirmed(
                 self.state.owners, record.id, record.instance
             )
@@ -216,6 +274,8 @@
             now=now,
         )
         for decision in decisions:
+            if self.is_contested(decision.replica, now):
+                continue
             if may_claim_any or decision.cause == "restarted":
                 self.claim_one(decision)
 
@@ -329,6 +389,14 @@
             self.store.txn(compares[:MAX_TXN_WRITES], writes[:MAX_TXN_WRITES])
 
 
+def is_write_of(item: Item, fence: int, record: HostRecord) -> bool:
+    """Tell if a record is a host's own with the fence from before a loss."""
+    if local_revision(item.mod_revision) != local_revision(fence):
+        return False
+    value = json.loads(item.value)
+    return (value.get("host"), value.get("instance")) == (record.id, record.instance)
+
+
 def owner_value(
     record: HostRecord, *, released: bool, wait_s: float
 ) -> dict[str, object]:
--- a/src/filbertyard/gateway/claimtable.py
+++ b/src/filbertyard/gateway/claimtable.py
@@ -12,6 +12,7 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 from dataclasses import dataclass
+from dataclasses import replace
 
 import xxhash
 
@@ -87,6 +88,10 @@
         """Record a claim that the store accepted."""
         self.claims[replica] = Claim(fence, now + wait_s, wait_s)
 
+    def confirm(self, replica: str, fence: int) -> None:
+        """Record the fence under which the store still holds a claim after a loss."""
+        self.claims[replica] = replace(self.claims[replica], fence=fence)
+
     def claims_past_wait(self, now: float) -> list[str]:
         """Return the replicas whose wait is over but still recorded in the store."""
         return [
--- a/src/filbertyard/gateway/state.py
+++ b/src/filbertyard/gateway/state.py
@@ -4,6 +4,7 @@
 
 import json
 import logging
+import math
 from collections.abc import Iterable
 from dataclasses import replace
 
@@ -11,6 +12,8 @@
 
 from ..exceptions import DocumentError
 from ..keyvalue import Item
+from ..keyvalue import first_revision
+from ..keyvalue import generation_of
 from ..logs import log_event
 from .quarantine import Quarantine
 from .types import AdapterName
@@ -39,7 +42,8 @@
 class Feed:
     """The newest known items below one prefix, with removals.
 
-    `revision` is that of the newest change that other hosts need.
+    `revision` is that of the newest change that other hosts need. Changes from before
+    `generation` are ignored: the service has lost them; see `keyvalue.REVISION_BITS`.
     """
 
     def __init__(self, prefix: str) -> None:
@@ -47,9 +51,18 @@
         self.items: dict[str, Item] = {}
         self.removed: dict[str, int] = {}
         self.revision = 0
+        self.generation = 0
+        self.has_snapshot = False
+
+    def begin_generation(self, generation: int) -> None:
+        """Ignore changes from before a loss; tell other hosts of it by the revision."""
+        self.generation = generation
+        self.revision = max(self.revision, first_revision(generation))
 
     def put(self, item: Item) -> bool:
         """Store an item if it is newer; tell if it was."""
+        if generation_of(item.mod_revision) < self.generation:
+            return False
         known = self.items.get(item.key)
         if known is not None and known.mod_revision >= item.mod_revision:
             return False
@@ -61,6 +74,8 @@
 
     def remove(self, key: str, revision: int) -> bool:
         """Apply a removal if it is newer; tell if it removed an item."""
+        if generation_of(revision) < self.generation:
+            return False
         known = self.items.get(key)
         if known is not None and known.mod_revision > revision:
             return False
@@ -91,6 +106,9 @@
         self.hosts: dict[str, HostRecord] = {}
         self.owners: dict[str, OwnerRecord] = {}
         self.missing_since: dict[str, float] = {}
+        # The owners before the store last lost writes, and when this host heard of it.
+        self.former_owners: dict[str, OwnerRecord] = {}
+        self.writes_lost_at = -math.inf
         self.quarantine = Quarantine()
         self.stored_rejections: dict[str, frozenset[str]] = {}
 
@@ -145,20 +163,69 @@
         is_after_outage: bool = False,
     ) -> None:
         """Apply a snapshot of a feed at `revision`."""
-        kept_s = EXPIRY_GRACE_S if is_after_outage else 0.0
         found = {item.key: item for item in items}
+        if generation_of(revision) > feed.generation:
+            is_after_outage |= feed.has_snapshot
+            if feed is self.replica_feed:
+                # A replica that was removed counts again once it writes its entry.
+                for key in feed.removed:
+                    feed.removed[key] = revision
+                    found.pop(key, None)
+            self.begin_generation(feed, revision, now)
+        feed.has_snapshot = True
+        kept_s = EXPIRY_GRACE_S if is_after_outage else 0.0
         for item in found.values():
             self.apply_item(feed, item, now, "store")
         for key, known in list(feed.items.items()):
             if key not in found and known.mod_revision <= revision:
                 self.apply_removal(feed, key, revision, now, "store", kept_s=kept_s)
 
+    def begin_generation(self, feed: Feed, revision: int, now: float) -> None:
+        """Go on with a feed after the store has lost writes; do nothing otherwise.
+
+        The store may hold again what was removed, and lack what was written since.
+        Whoever still stands behind a record writes it again.
+        """
+        generation = generation_of(revision)
+        if generation <= feed.generation:
+            return
+        if feed.has_snapshot:
+            log_event(
+                logger,
+                "feed_writes_lost",
+                level=logging.WARNING,
+                feed=feed.prefix,
+                known=feed.revision,
+                revision=revision,
+            )
+            if feed is self.gateway_feed:
+                self.former_owners = dict(self.owners)
+                self.writes_lost_at = now
+                # The prompts still crash replicas; the rejections end by themselves.
+                self.stored_rejections.clear()
+        feed.begin_generation(generation)
+
     def apply_operator_item(self, item: Item, now: float, source: str) -> None:
         """Apply a configuration or the announcement of a version."""
         layout = self.wire.layout
         try:
             if item.key == layout.configuration_key:
-                self.configuration = self.wire.read_configuration(item)
+                configuration = self.wire.read_configuration(item)
+                known = self.configuration
+                if known is not None and is_lost_since(
+                    known.revision, known.version > configuration.version, item
+                ):
+                    log_event(
+                        logger,
+                        "configuration_ignored",
+                        level=logging.WARNING,
+                        version=configuration.version,
+                        known=known.version,
+                        revision=item.mod_revision,
+                        source=source,
+                    )
+                    return
+                self.configuration = configuration
                 log_event(
                     logger,
                     "configuration_in_force",
@@ -196,6 +263,10 @@
             )
             return True
         known = self.replicas.get(name)
+        if known is not None and is_lost_since(
+            known.revision, known.supersedes(replica), item
+        ):
+            replica = replace(known, revision=replica.revision)
         self.replicas[name] = replica
         self.kept_until.pop(name, None)
         if known is not None:
@@ -342,6 +413,12 @@
         ]
 
 
+def is_lost_since(known_revision: int, is_newer: bool, item: Item) -> bool:
+    """Tell if what is known is newer than an item although the item's revision is."""
+    is_after_loss = generation_of(known_revision) < generation_of(item.mod_revision)
+    return is_after_loss and is_newer
+
+
 def encode_rejection(parts: frozenset[str], rejection_s: float) -> tuple[str, bytes]:
     """Return key and value of the record of a rejected combination of prompt parts."""
     names = sorted(parts)
--- a/src/filbertyard/gateway/sync.py
+++ b/src/filbertyard/gateway/sync.py
@@ -204,6 +204,7 @@
             self.fetching.discard(feed.prefix)
         if isinstance(result, Err) or not isinstance(result.ok_value, FeedChanges):
             return False
+        self.state.begin_generation(feed, result.ok_value.revision, time.monotonic())
         self.apply_changes(peer, feed, result.ok_value)
         # Changes that a push brought before are not applied again, so that they do not
         # advance the revision by themselves.
--- a/src/filbertyard/gateway/types.py
+++ b/src/filbertyard/gateway/types.py
@@ -158,6 +158,12 @@
     models: dict[str, int] = field(default_factory=dict)
     adapters: dict[AdapterName, int] = field(default_factory=dict)
 
+    def supersedes(self, other: Replica) -> bool:
+        """Tell if this was written after another entry of the same replica."""
+        if self.started_ms != other.started_ms:
+            return self.started_ms > other.started_ms
+        return self.is_leaving and not other.is_leaving
+
 
 @dataclass(frozen=True, slots=True)
 class EngineReport:
--- a/src/filbertyard/keyvalue.py
+++ b/src/filbertyard/keyvalue.py
@@ -21,6 +21,11 @@
 
 MAX_VALUE_BYTES = 1 << 20
 
+# A service that lost acknowledged writes counts its revisions from a lower one again. A
+# revision here has the number of such losses, its generation, above these low bits, so
+# that it is higher than all revisions from before the loss. A float holds it exactly.
+REVISION_BITS = 40
+
 
 @dataclass(frozen=True, slots=True)
 class Item:
@@ -87,7 +92,14 @@
 
 
 class KeyValue(Protocol):
-    """Operations of the key-value service; each raises KeyValueUnavailableError."""
+    """Operations of the key-value service; each raises KeyValueUnavailableError.
+
+    `generation` counts how often the service is known to have lost acknowledged writes.
+    """
+
+    @property
+    def generation(self) -> int:
+        """Return the number of known losses."""
 
     def range(
         self, key: str, *, prefix: bool = False, limit: int = 0, after: str = ""
@@ -127,6 +139,21 @@
     return KEY_VALUE_CLIENTS[form](address, timeout_s)
 
 
+def generation_of(revision: int) -> int:
+    """Return how often the service had lost acknowledged writes at a revision."""
+    return revision >> REVISION_BITS
+
+
+def first_revision(generation: int) -> int:
+    """Return a revision below all those of a generation that wrote something."""
+    return generation << REVISION_BITS
+
+
+def local_revision(revision: int) -> int:
+    """Return the number that the service itself gives to a revision."""
+    return revision & (first_revision(1) - 1)
+
+
 def encode_bytes(data: bytes | str) -> str:
     """Return the base64 text that the JSON gateway uses for bytes."""
     raw = data.encode() if isinstance(data, str) else data
@@ -156,7 +183,9 @@
 
 @key_value_client("etcd-v3-json")
 class EtcdJsonClient:
-    """Client of the JSON API of the etcd v3 gateway."""
+    """Client of the JSON API of the etcd v3 gateway, which does not tell of losses."""
+
+    generation: int = 0
 
     def __init__(self, address: str, timeout_s: float = 1.0) -> None:
         self.peer: HttpPeer = create_http_peer(
--- a/src/filbertyard/observation.py
+++ b/src/filbertyard/observation.py
@@ -187,6 +187,11 @@
         self.inner = inner
         self.observer = observer
 
+    @property
+    def generation(self) -> int:
+        """Return how often the service is known to have lost acknowledged writes."""
+        return self.inner.generation
+
     def observe(self, name: str, call: Callable[[], T]) -> T:
         """Run one call and record it."""
         events, metrics = self.observer.events, self.observer.metrics
--- a/src/filbertyard/platform/standins.py
+++ b/src/filbertyard/platform/standins.py
@@ -20,6 +20,7 @@
 from ..keyvalue import encode_bytes
 from ..sockets import reset_when_closed
 from ..standins.keyvalue import KeyValueStandin
+from ..standins.keyvalue import SavedContent
 from ..standins.web import Environ
 from ..standins.web import Standin
 from ..standins.web import StartResponse
@@ -52,11 +53,13 @@
         super().__init__(port)
         self.compacted = 0
         self.page_items = 500
+        self.era = 1
 
     def application(
         self, environ: Environ, start_response: StartResponse
     ) -> Iterable[bytes]:
         """Answer one call."""
+        start_response = self.with_era(start_response)
         path = environ["PATH_INFO"]
         query = {
             key: values[0]
@@ -83,6 +86,23 @@
         value["currentRev"] = self.revision
         return send_json(start_response, value, status)
 
+    def with_era(self, start_response: StartResponse) -> StartResponse:
+        """Return `start_response` with the header of the store's era added."""
+
+        def start(status: str, headers: list[tuple[str, str]]) -> Any:
+            return start_response(status, [*headers, ("Store-Era", str(self.era))])
+
+        return start
+
+    def lose_writes(self, saved: SavedContent) -> None:
+        """Return to saved content as a store that is restored from a copy."""
+        self.restore(saved)
+        self.leases.clear()
+        # Ids of leases are given out again, too.
+        self.next_lease = 1000
+        self.compacted = 0
+        self.era += 1
+
     def handle_platform_call(
         self, path: str, query: dict[str, str], body: dict[str, Any]
     ) -> tuple[int, dict[str, Any]]:
@@ -166,7 +186,7 @@
         while True:
             if self.faults.unavailable:
                 return send_json(start_response, {"error": "away"}, REJECTED_STATUS)
-            if after < self.compacted:
+            if after < self.compacted or after > self.revision:
                 start_response("410 Gone", [("Content-Length", "2")])
                 return [b"{}"]
             events = [
--- a/tests/test_gateway_sync.py
+++ b/tests/test_gateway_sync.py
@@ -21,6 +21,7 @@
 from filbertyard.gateway.sync import FeedWatcher
 from filbertyard.gateway.sync import PeerSync
 from filbertyard.httpcalls import HttpPeer
+from filbertyard.httpcalls import HttpResponse
 from filbertyard.keyvalue import Item
 from filbertyard.keyvalue import WatchEvent
 from filbertyard.platform.wireformat import create_platform_wire_format
@@ -214,17 +215,17 @@
 ) -> None:
     """Regression: after a silent outage, hosts used leaving replicas for 11 s."""
     timeouts: dict[str, float] = {}
-    send = HttpPeer.json
+    send = HttpPeer.exchange
 
     def record_timeout(
         peer: HttpPeer, method: str, path: str, *arguments: Any, **options: Any
-    ) -> tuple[int, Any]:
+    ) -> tuple[HttpResponse, bytes]:
         if path.startswith("/api/kv-watch"):
             prefix = parse_qs(path.partition("?")[2])["prefix"][0]
             timeouts[prefix] = options["timeout_s"]
         return send(peer, method, path, *arguments, **options)
 
-    monkeypatch.setattr(HttpPeer, "json", record_timeout)
+    monkeypatch.setattr(HttpPeer, "exchange", record_timeout)
     fleet = GatewayFleet()
     try:
         fleet.start()
