Let the store of the soak lose its last writes

In half of the runs the stand-in of the store comes back from a copy at random times, with leases and revisions given out again; the operator and the replicas write their records again after up to a second. Fences and the gap between two holders are checked as before. A version of the configuration is counted instead of taken from the store's revision, which goes back.

A copy holds the leases of its keys, which run out if nobody renews them.

--- a/src/filbertyard/platform/standins.py
+++ b/src/filbertyard/platform/standins.py
@@ -31,6 +31,9 @@
 
 REJECTED_STATUS = 503
 
+# Time to live of the leases that a copy of the store holds.
+RESTORED_LEASE_S = 3
+
 # Maximum time that the store holds a watch request.
 MAX_WATCH_S = 30.0
 
@@ -97,9 +100,11 @@
     def lose_writes(self, saved: SavedContent) -> None:
         """Return to saved content as a store that is restored from a copy."""
         self.restore(saved)
-        self.leases.clear()
+        held = {item.lease for item in self.items.values() if item.lease}
+        end = time.monotonic() + RESTORED_LEASE_S
+        self.leases = {lease: (RESTORED_LEASE_S, end) for lease in held}
         # Ids of leases are given out again, too.
-        self.next_lease = 1000
+        self.next_lease = max(held, default=1000)
         self.compacted = 0
         self.era += 1
 
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -23,6 +23,7 @@
 
 from filbertyard.platform.standins import PlatformStoreStandin
 from filbertyard.platform.standins import ReplicaStandin
+from filbertyard.standins.keyvalue import SavedContent
 from gatewayfleet import MODEL
 from gatewayfleet import Reply
 from gatewayfleet import configuration
@@ -49,6 +50,9 @@
 
 HARMFUL_SHARE = 0.15
 
+# Share of the runs in which the store loses writes, and then of further losses.
+LOSS_SHARE = 0.5
+
 # A replica may get this many times its rate limit within a window, and some more.
 RATE_WINDOW_S = 4.0
 RATE_FACTOR = 1.5
@@ -222,6 +226,8 @@
     drains: list[tuple[str, float, float]] = field(default_factory=list)
     limits: list[Limit] = field(default_factory=list)
     harmful_part: str = ""
+    version: int = 1
+    entries: dict[str, dict[str, Any] | None] = field(default_factory=dict)
     crash_times: dict[str, list[float]] = field(default_factory=dict)
 
     def start(self) -> None:
@@ -286,8 +292,36 @@
     def list_replica(self, replica: ReplicaStandin, state: str = "ready") -> None:
         """Write the replica's store entry with the address of its link."""
         entry = {**replica.entry(state), "address": self.links[replica.id].address}
+        self.entries[replica.id] = entry
         self.store.write(f"servers/{replica.id}", entry)
 
+    def remove_replica(self, replica: str) -> None:
+        """Delete the store entry of a replica."""
+        self.entries[replica] = None
+        self.store.delete(f"servers/{replica}")
+
+    def change_configuration(self) -> None:
+        """Write a configuration with the next version."""
+        self.version += 1
+        self.store.write("op/config", configuration(self.version))
+
+    def lose_writes(self, saved: SavedContent, rng: random.Random) -> None:
+        """Have the store come back from a copy; who wrote there writes again."""
+        away_s, pause_s = rng.uniform(0.0, 2.0), rng.uniform(0.0, 1.0)
+        self.injected_faults.append("lose_writes")
+        self.disturb(away_s + pause_s)
+        self.store.faults.unavailable = True
+        gevent.sleep(away_s)
+        self.store.lose_writes(saved)
+        self.store.faults.unavailable = False
+        gevent.sleep(pause_s)
+        self.store.write("op/config", configuration(self.version))
+        for name, entry in self.entries.items():
+            if entry is not None:
+                self.store.write(f"servers/{name}", entry)
+            elif f"servers/{name}" in self.store.items:
+                self.store.delete(f"servers/{name}")
+
     def add_process(self, number: int, control_address: str, seeds: list[str]) -> None:
         """Write the settings of one process."""
         folder = self.folder / f"host-{number}"
@@ -393,6 +427,14 @@
             self.limits.append(limit)
             gevent.spawn_later(rng.uniform(5.0, 15.0), self.end_limit, replica, limit)
 
+    def run_losses(self, rng: random.Random) -> None:
+        """Have the store lose its last writes at random times, in half of the runs."""
+        while rng.random() < LOSS_SHARE:
+            gevent.sleep(rng.uniform(0.0, 3.0))
+            saved = self.store.save()
+            gevent.sleep(rng.uniform(0.5, 5.0))
+            self.lose_writes(saved, rng)
+
     def run(self, faults: int) -> None:
         """Inject faults, which may overlap, then end them and wait for recovery."""
         rng = random.Random(self.seed)
@@ -402,6 +444,7 @@
         ]
         # Faults of their own: the seeds of CI keep the sequences that they stand for.
         limits = gevent.spawn(self.run_limits, random.Random(f"{self.seed}/limits"))
+        losses = gevent.spawn(self.run_losses, random.Random(f"{self.seed}/losses"))
         for _ in range(faults):
             name = rng.choice(sorted(FAULTS))
             self.injected_faults.append(name)
@@ -409,6 +452,7 @@
             gevent.sleep(rng.uniform(0.2, 2.0))
         gevent.sleep(STABLE_S)
         limits.kill()
+        losses.kill()
         self.end_restarts()
         self.end_faults()
         wait_until(lambda: self.send("desk", 0).status == 200, RECOVERY_TIMEOUT_S)
@@ -641,7 +685,7 @@
 def change_configuration(soak: Soak, rng: random.Random) -> None:
     """Write several configurations in quick succession."""
     for _ in range(rng.randrange(1, 4)):
-        soak.store.write("op/config", configuration(soak.store.revision))
+        soak.change_configuration()
         gevent.sleep(rng.uniform(0.0, 0.1))
 
 
@@ -653,7 +697,7 @@
     if rng.random() < 0.5:
         soak.list_replica(replica, "draining")
     else:
-        soak.store.delete(f"servers/{name}")
+        soak.remove_replica(name)
     soak.drains.append((name, time.monotonic(), math.inf))
 
 
@@ -694,7 +738,7 @@
 @fault
 def store_forgets(soak: Soak, rng: random.Random) -> None:
     """Compact the store's history after a change."""
-    soak.store.write("op/config", configuration(soak.store.revision))
+    soak.change_configuration()
     soak.store.compact()
 
 
