Claim a replica whose record names this process without a claim

A host that has given up a claim finds its own earlier record in the copy from which the store comes back, or never learns that its claim was written. It took the record for a claim that it holds, and so did the others: the replica had no owner, and so got no orders, until that host restarted.

Change: such a record is claimed again, with the wait of a takeover.

Evidence: test_a_record_of_this_process_without_a_claim_is_claimed_again fails before (no decision) and passes; the state machine of claims passes.

--- a/src/filbertyard/gateway/claimtable.py
+++ b/src/filbertyard/gateway/claimtable.py
@@ -142,9 +142,11 @@
     for replica in sorted(replicas):
         known = owners.get(replica)
         cause = claim_cause(known, host, hosts, missing_since, reachable, now)
+        if not cause and is_unclaimed(known, host, claim_table):
+            cause = "unclaimed"
         if not cause:
             continue
-        if cause != "restarted":
+        if cause not in ("restarted", "unclaimed"):
             claim_order = sorted(
                 live,
                 key=lambda key: (
@@ -169,6 +171,7 @@
                     "restarted": known.wait_s if known is not None else 0.0,
                     "released": claim_table.takeover_wait_s(),
                     "lost": claim_table.takeover_wait_s(),
+                    "unclaimed": claim_table.takeover_wait_s(),
                 }[cause],
                 cause,
             )
@@ -176,6 +179,20 @@
     return decisions
 
 
+def is_unclaimed(
+    record: OwnerRecord | None, host: HostRecord, claim_table: ClaimTable
+) -> bool:
+    """Tell if a record names this process although it holds no such claim.
+
+    It lost the response to the claim, or the store came back with an earlier record.
+    """
+    return (
+        record is not None
+        and (record.host, record.instance) == (host.id, host.instance)
+        and record.replica not in claim_table.claims
+    )
+
+
 def claim_cause(
     record: OwnerRecord | None,
     host: HostRecord,
--- a/tests/test_gateway_claimtable.py
+++ b/tests/test_gateway_claimtable.py
@@ -239,3 +239,27 @@
     ]
     assert sum(counts) == 20
     assert max(counts) - min(counts) <= 1
+
+
+def test_a_record_of_this_process_without_a_claim_is_claimed_again() -> None:
+    """Regression: a replica stayed without orders until the named host restarted."""
+    node = Node("h1")
+
+    def decide() -> list:
+        return decide_claims(
+            host=node.record(),
+            replicas=[REPLICA],
+            owners={REPLICA: OwnerRecord(REPLICA, "h1", str(node.instance), 7)},
+            hosts={"h1": node.record()},
+            missing_since={},
+            claimable_since={REPLICA: 0.0},
+            reachable=set(),
+            claim_table=node.claim_table,
+            now=1.0,
+        )
+
+    (decision,) = decide()
+    assert (decision.cause, decision.revision) == ("unclaimed", 7)
+    assert decision.wait_s > GAP_S
+    node.claim_table.add(REPLICA, 7, 1.0, 0.0)
+    assert not decide()
