Describe what hosts promise when the store loses acknowledged writes

For the product's own hosts design.md says what holds: settings are written back (tests exist), ownership rests on witnesses, and a call with an Idempotency-Key whose record is lost can run again, which a new test shows.

--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -365,3 +365,13 @@
     gevent.sleep(1.5)
     assert len(fleet.ran) == 400
     assert fleet.key_value.writes < 100
+
+
+def test_a_key_whose_record_the_service_lost_can_run_again() -> None:
+    """Shows the limit stated in docs/design.md: records are all that hosts keep."""
+    fleet = Fleet(["a", "b"])
+    run(fleet, "a", "x")
+    fleet.key_value.items.clear()
+    replies = run(fleet, "b", "x")
+    assert ["Idempotency-Replayed", "true"] not in replies[0].headers
+    assert fleet.ran == {"x": 2}
