Pass responses without a length on without one in the product's interface too

A response of a plain service with neither a length nor chunks got the length of what had arrived, so that one that a crash cut short looked complete; a repeat with the same Idempotency-Key got it as complete, too.

Change: Started and the record of a key say whether the response was framed; if not, the caller's response ends with its connection. Completions are checked by their content ([DONE], or a complete JSON document), so nothing changes for them.

Evidence: test_response_without_a_length_is_passed_on_without_one fails before (Content-Length: 1) and passes on both hosts, the second of which replays it.

--- a/src/filbertyard/callers.py
+++ b/src/filbertyard/callers.py
@@ -302,11 +302,13 @@
                 if not isinstance(first, Started):
                     return self.send_failure(start_response, first, call)
                 headers = response_headers(first, call)
+                if not first.is_framed:
+                    handler.omit_framing()
                 phrase = REASON_PHRASES.get(first.status, "Unknown")
                 status = f"{first.status} {phrase}"
                 if not call.stream or first.status != HTTPStatus.OK:
                     return self.send_buffered(
-                        replies, start_response, status, headers, call
+                        replies, start_response, status, headers, call, first.is_framed
                     )
             start_response(status, headers)
             streaming = True
@@ -355,6 +357,7 @@
         status: str,
         headers: list[tuple[str, str]],
         call: Call,
+        is_framed: bool,
     ) -> Iterable[bytes]:
         """Send a response once it is complete."""
         parts = []
@@ -369,7 +372,8 @@
         if not ended:
             return send_problem(start_response, incomplete_response(call.request_id))
         body = b"".join(parts)
-        headers.append(("Content-Length", str(len(body))))
+        if is_framed:
+            headers.append(("Content-Length", str(len(body))))
         start_response(status, headers)
         return [body]
 
@@ -477,6 +481,8 @@
     headers.append(("X-Request-Id", call.request_id))
     if first.served_by:
         headers.append(("Filbertyard-Adapter", first.served_by))
+    if not first.is_framed:
+        headers.append(("Connection", "close"))
     return headers
 
 
--- a/src/filbertyard/idempotency.py
+++ b/src/filbertyard/idempotency.py
@@ -555,6 +555,7 @@
         "headers": started.headers,
         "served_by": started.served_by,
         "replica": started.replica,
+        "framed": started.is_framed,
         "body": None if body is None else base64.b64encode(body).decode(),
     }
 
@@ -579,7 +580,15 @@
         headers = [*response["headers"], ["Idempotency-Replayed", "true"]]
         served_by, replica = response["served_by"], response["replica"]
         return [
-            Started(request_id, 0, response["status"], headers, served_by, replica),
+            Started(
+                request_id,
+                0,
+                response["status"],
+                headers,
+                served_by,
+                replica,
+                response.get("framed", True),
+            ),
             Chunk(request_id, 0, 0, body),
             End(request_id, 0, 1),
         ]
--- a/src/filbertyard/messages.py
+++ b/src/filbertyard/messages.py
@@ -99,7 +99,10 @@
 @message("started")
 @dataclass(slots=True)
 class Started(Message):
-    """Carry the upstream's status and headers; the upstream is running the call."""
+    """Carry the upstream's status and headers; the upstream is running the call.
+
+    Without a length and chunks (`is_framed`) only the end of its connection ended it.
+    """
 
     request_id: str
     attempt: int
@@ -107,6 +110,7 @@
     headers: list[list[str]]
     served_by: str = ""
     replica: str = ""
+    is_framed: bool = True
 
 
 @message("chunk")
--- a/src/filbertyard/replicas.py
+++ b/src/filbertyard/replicas.py
@@ -516,8 +516,15 @@
             yield Started(request_id, attempt, 200, headers, served_by, self.name)
             parts: Iterator[bytes] = split_chunks([body])
         else:
+            is_framed = call.kind == "completion" or response.is_framed
             yield Started(
-                request_id, attempt, response.status, headers, served_by, self.name
+                request_id,
+                attempt,
+                response.status,
+                headers,
+                served_by,
+                self.name,
+                is_framed,
             )
             parts = split_chunks(response.parts())
             if call.kind == "completion":
--- a/src/filbertyard/standins/service.py
+++ b/src/filbertyard/standins/service.py
@@ -82,10 +82,18 @@
         response = {"service": self.name, "executed": number, "request": request_id}
         if faults.consume("cut"):
             return self.send_truncated(environ, start_response)
+        if faults.consume("unframed"):
+            return self.send_unframed(environ, request_id)
         return send_json(
             start_response, response, headers=[("Filbertyard-Request", request_id)]
         )
 
+    def send_unframed(self, environ: Environ, request_id: str) -> list[bytes]:
+        """Send the start of a response that has neither a length nor chunks."""
+        head = f"HTTP/1.1 200 OK\r\nFilbertyard-Request: {request_id}\r\n\r\n"
+        environ["standin.handler"].socket.sendall(head.encode() + b"{")
+        return break_connection(environ)
+
     def send_truncated(
         self, environ: Environ, start_response: StartResponse
     ) -> Iterator[bytes]:
--- a/tests/test_callpath.py
+++ b/tests/test_callpath.py
@@ -391,6 +391,34 @@
         service.faults.counts.clear()
 
 
+def test_response_without_a_length_is_passed_on_without_one(
+    fleet: LocalFleet,
+) -> None:
+    """Regression: a response that a crash cut short got the length of its start."""
+    services = services_with(fleet, "unframed")
+    replayed = ""
+    for host in fleet.hosts.values():
+        peer = create_http_peer(host.membership.local_member.callers)
+        headers = {"Idempotency-Key": "unframed", "X-Request-Id": "unframed"}
+        with gevent.Timeout(WAIT_S):
+            while True:
+                response = peer.request(
+                    "POST", "/services/kouga/rakes/run", b"{}", headers
+                )
+                body = response.read()
+                if response.status != 409:
+                    break
+                # The record of the outcome follows the response.
+                gevent.sleep(0.05)
+        replayed = response.header("Idempotency-Replayed")
+        assert (response.status, body) == (200, b"{")
+        assert not response.is_framed
+        assert response.header("Connection") == "close"
+    assert replayed == "true"
+    for service in services:
+        service.faults.counts.clear()
+
+
 def test_owner_bars_a_command_that_it_had_not_sent(
     fleet: LocalFleet, monkeypatch: pytest.MonkeyPatch
 ) -> None:
