Take over the store's era at the start of a process without a warning

Each process that started after a loss logged store_lost_writes, although nothing was lost since its start, and took a second lease at its second renewal: the first response brought the era, after the host had looked at it. Seen in the logs of restored-hosts (five such lines at 15.3 s and later). The era of the first response is now taken over silently, and the lease counts for the era in which it was granted.

--- a/src/filbertyard/gateway/claims.py
+++ b/src/filbertyard/gateway/claims.py
@@ -120,13 +120,13 @@
         if self.lease and self.store.lease_keepalive(self.lease) <= 0:
             log_event(logger, "host_lease_ended", level=logging.WARNING)
             self.lease = 0
-        generation = self.store.generation
-        if generation != self.generation:
+        if self.generation != self.store.generation:
             # The lease is gone, and its id may be that of another host's lease now.
             self.lease = 0
         if not self.lease:
             self.lease = self.store.lease_grant(HOST_LEASE_S)
             self.written_record = None
+        generation = self.store.generation
         known = self.state.hosts.get(record.id)
         if self.written_record != record or known != record:
             self.write_record(record)
--- a/src/filbertyard/platform/store.py
+++ b/src/filbertyard/platform/store.py
@@ -77,6 +77,7 @@
         self.address = self.peer.address
         self.timeout_s = timeout_s
         self.generation = 0
+        self.has_era = False
         self.calls: Counter[str] = Counter()
 
     def call(
@@ -120,7 +121,7 @@
             raise self.unavailable(
                 f"response of era {text}, before the store lost writes", name
             )
-        if generation > self.generation:
+        if generation > self.generation and self.has_era:
             log_event(
                 logger,
                 "store_lost_writes",
@@ -129,7 +130,8 @@
                 known=self.generation,
                 call=name,
             )
-            self.generation = generation
+        self.generation = generation
+        self.has_era = True
 
     def range(
         self, key: str, *, prefix: bool = False, limit: int = 0, after: str = ""
