Have raw responses of the stand-in carry the request's id

Traced: raw responses had no id, which since is an error on a kept connection, so the verdict hung on whether the request found one. Replicas echo the id, and now raw responses do.

Also: a record in the store is compared with the whole record of the claim, so that one that is not JSON can't end the task that renews it; a clearer name in a test.

--- a/src/filbertyard/gateway/claims.py
+++ b/src/filbertyard/gateway/claims.py
@@ -23,6 +23,7 @@
 from ..logs import log_event
 from .claimtable import HOST_LEASE_S
 from .claimtable import HOST_LOSS_TIMEOUT_S
+from .claimtable import Claim
 from .claimtable import ClaimDecision
 from .claimtable import ClaimTable
 from .claimtable import claim_cause
@@ -186,7 +187,7 @@
             if may_have_successor:
                 # Another host may have taken over in writes that are lost.
                 wait_s = HOST_LOSS_TIMEOUT_S + self.claim_table.takeover_wait_s()
-            elif item is not None and is_write_of(item, claim.fence, record):
+            elif item is not None and is_record_of(item, claim, record):
                 self.claim_table.confirm(replica, item.mod_revision)
                 continue
             fence = self.write_owner(replica, item.mod_revision if item else 0, wait_s)
@@ -389,12 +390,11 @@
             self.store.txn(compares[:MAX_TXN_WRITES], writes[:MAX_TXN_WRITES])
 
 
-def is_write_of(item: Item, fence: int, record: HostRecord) -> bool:
-    """Tell if a record is a host's own with the fence from before a loss."""
-    if local_revision(item.mod_revision) != local_revision(fence):
+def is_record_of(item: Item, claim: Claim, host: HostRecord) -> bool:
+    """Tell if the store still holds the record of a claim from before a loss."""
+    if local_revision(item.mod_revision) != local_revision(claim.fence):
         return False
-    value = json.loads(item.value)
-    return (value.get("host"), value.get("instance")) == (record.id, record.instance)
+    return item.value == encode(owner_value(host, released=False, wait_s=claim.wait_s))
 
 
 def owner_value(
--- a/src/filbertyard/platform/standins.py
+++ b/src/filbertyard/platform/standins.py
@@ -210,10 +210,14 @@
             self.expire_leases()
 
 
+# Stands for the id of the request in a raw response.
+OWN_ID = b"(own id)"
+
 # Status and headers of a response without a length that ends with its connection.
 SIGNED_HEAD = (
-    b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
-    b"Response-Signature: raw.1\r\nConnection: close\r\n"
+    b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nRequest-Id: "
+    + OWN_ID
+    + b"\r\nResponse-Signature: raw.1\r\nConnection: close\r\n"
 )
 
 
@@ -222,7 +226,8 @@
 
 
 def send_raw(environ: Environ, data: Iterable[bytes]) -> None:
-    """Send bytes as they are until the caller closes its connection."""
+    """Send bytes until the caller closes its connection, as they are but for its id."""
+    request_id = environ.get("HTTP_REQUEST_ID", "").encode()
     sock = environ["standin.handler"].socket
     with suppress(OSError):
         for part in data:
@@ -232,7 +237,7 @@
                 reset_when_closed(sock)
                 os.close(sock.detach())
                 return
-            sock.sendall(part)
+            sock.sendall(part.replace(OWN_ID, request_id))
 
 
 @dataclass(slots=True)
--- a/tests/test_gateway_broken_answers.py
+++ b/tests/test_gateway_broken_answers.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from filbertyard.platform.standins import OWN_ID
 from filbertyard.platform.standins import RESET
 from filbertyard.platform.standins import SIGNED_HEAD
 from filbertyard.platform.standins import ReplicaStandin
@@ -15,6 +16,7 @@
     SIGNED_HEAD + b"Transfer-Encoding: chunked\r\n\r\n",
     b"%x\r\n%b\r\n" % (len(EVENT), EVENT),
 ]
+SIGNED = b"Response-Signature: raw.1\r\nRequest-Id: " + OWN_ID + b"\r\n"
 HEAD = SIGNED_HEAD + b"Content-Length: 16\r\n\r\n"
 
 
@@ -68,7 +70,7 @@
     body = b"1\r\nx\r\n0\r\n\r\n" if b"chunked" in answer else b"error"
     if b" 204 " in answer:
         body = b""
-    head = answer + b"Response-Signature: raw.1\r\nConnection: close\r\n\r\n"
+    head = answer + SIGNED + b"Connection: close\r\n\r\n"
     fleet.answer_raw(BROKEN_STREAM, [head, body])
     reply = fleet.text("a1", path="/note/a")
     assert (reply.status, reply.body) == (200, EVENT)
@@ -77,7 +79,7 @@
 
 def test_an_error_before_the_first_event_is_the_response(fleet: GatewayFleet) -> None:
     answer = b"HTTP/1.1 404 Not Found\r\nContent-Length: 5\r\n"
-    head = answer + b"Response-Signature: raw.1\r\n\r\n"
+    head = answer + SIGNED + b"\r\n"
     fleet.answer_raw([head, b"error"])
     reply = fleet.text("a1", path="/note/a")
     assert (reply.status, reply.body, reply.is_complete) == (404, b"error", True)
--- a/tests/test_gateway_lost_writes.py
+++ b/tests/test_gateway_lost_writes.py
@@ -117,7 +117,7 @@
     return item(f"servers/{name}", value, revision, losses)
 
 
-def config(version: int, revision: int, losses: int = 0) -> Item:
+def config_item(version: int, revision: int, losses: int = 0) -> Item:
     return item("op/config", configuration(version), revision, losses)
 
 
@@ -142,20 +142,20 @@
 
 def test_a_change_after_a_loss_is_in_force_at_once(state: GatewayState) -> None:
     """Regression: it waited until the store had as many revisions as before."""
-    state.apply_item(state.operator_feed, config(81, 90), 0.0, "store")
-    restore(state, config(48, 40))
-    state.apply_item(state.operator_feed, config(85, 51, 1), 101.0, "store")
+    state.apply_item(state.operator_feed, config_item(81, 90), 0.0, "store")
+    restore(state, config_item(48, 40))
+    state.apply_item(state.operator_feed, config_item(85, 51, 1), 101.0, "store")
     assert version(state) == 85
 
 
 def test_a_configuration_never_comes_back_older(state: GatewayState) -> None:
-    state.apply_item(state.operator_feed, config(81, 90), 0.0, "store")
-    restore(state, config(48, 40, 1))
+    state.apply_item(state.operator_feed, config_item(81, 90), 0.0, "store")
+    restore(state, config_item(48, 40, 1))
     assert version(state) == 81
     # The operator writes the lost ones again in their order.
     for revision, number in enumerate((60, 81, 85), 51):
         state.apply_item(
-            state.operator_feed, config(number, revision, 1), 101.0, "store"
+            state.operator_feed, config_item(number, revision, 1), 101.0, "store"
         )
         assert version(state) == max(81, number)
 
@@ -209,9 +209,9 @@
 
 
 def test_a_peer_that_missed_the_loss_changes_nothing(state: GatewayState) -> None:
-    restore(state, config(81, 40, 1), entry(41, 1))
+    restore(state, config_item(81, 40, 1), entry(41, 1))
     sync = PeerSync(state, FakePeers())
-    late = config(60, 99)
+    late = config_item(60, 99)
     sync.handle_push("p", FeedPush("op/", 98, [[late.key, late.value, 99]], []))
     gone = entry(98, name="r2")
     sync.handle_push(
@@ -225,16 +225,16 @@
 def test_a_host_without_the_store_learns_of_the_loss_from_its_peers(
     state: GatewayState,
 ) -> None:
-    state.apply_item(state.operator_feed, config(81, 90), 0.0, "store")
+    state.apply_item(state.operator_feed, config_item(81, 90), 0.0, "store")
     other = create_gateway_state(create_platform_wire_format())
-    other.apply_snapshot(other.operator_feed, [config(81, 90)], 90, 0.0)
-    restore(other, config(48, 40, 1))
-    other.apply_item(other.operator_feed, config(85, 51, 1), 101.0, "store")
+    other.apply_snapshot(other.operator_feed, [config_item(81, 90)], 90, 0.0)
+    restore(other, config_item(48, 40, 1))
+    other.apply_item(other.operator_feed, config_item(85, 51, 1), 101.0, "store")
     assert other.operator_feed.revision > state.operator_feed.revision
     changes = PeerSync(other, FakePeers()).handle_fetch("host", FetchFeed("op/", 90))
     PeerSync(state, FakePeers(changes)).fetch("peer", state.operator_feed)
     assert version(state) == 85
-    late = config(83, 99)
+    late = config_item(83, 99)
     PeerSync(state, FakePeers()).apply_changes(
         "p", state.operator_feed, FeedChanges([[late.key, late.value, 99]], [])
     )
@@ -323,7 +323,7 @@
     for host in others:
         wait_until(lambda host=host: "e0" in host.state.owners)
         now = time.monotonic()
-        restore(host.state, config(1, 2, 1))
+        restore(host.state, config_item(1, 2, 1))
         host.state.writes_lost_at = now
         assert host.registrar.is_contested("e0", now)
         assert not host.registrar.is_contested("e0", now + HOST_LOSS_TIMEOUT_S)
