Start the small fleet of four test files in one place

The same fixture stood in test_gateway_endless.py and in three new files; they now share start_small_fleet. No check changed; the four files pass (89 tests).

--- a/tests/gatewayfleet.py
+++ b/tests/gatewayfleet.py
@@ -283,3 +283,15 @@
         bytes(response._body_buffer),
         response.message_complete,
     )
+
+
+def start_small_fleet() -> GatewayFleet:
+    """Return one host with two engines and two replicas of a plain service."""
+    fleet = GatewayFleet()
+    fleet.start()
+    for number in range(2):
+        fleet.add_replica(ReplicaStandin(f"e{number}", "engine", model=MODEL))
+        fleet.add_replica(ReplicaStandin(f"d{number}", "desk"))
+    fleet.await_owners()
+    wait_until(lambda: len(fleet.hosts[0].state.usable("desk")) == 2)
+    return fleet
--- a/tests/test_gateway_broken_answers.py
+++ b/tests/test_gateway_broken_answers.py
@@ -7,9 +7,8 @@
 from filbertyard.platform.standins import OWN_ID
 from filbertyard.platform.standins import RESET
 from filbertyard.platform.standins import SIGNED_HEAD
-from filbertyard.platform.standins import ReplicaStandin
 from gatewayfleet import GatewayFleet
-from gatewayfleet import wait_until
+from gatewayfleet import start_small_fleet
 
 EVENT = b"id: 1\ndata: a1\n\n"
 BROKEN_STREAM = [
@@ -22,13 +21,7 @@
 
 @pytest.fixture(scope="module")
 def fleet() -> Iterator[GatewayFleet]:
-    fleet = GatewayFleet()
-    fleet.start()
-    for number in range(2):
-        fleet.add_replica(ReplicaStandin(f"e{number}", "engine", model="m0"))
-        fleet.add_replica(ReplicaStandin(f"d{number}", "desk"))
-    fleet.await_owners()
-    wait_until(lambda: len(fleet.hosts[0].state.usable("desk")) == 2)
+    fleet = start_small_fleet()
     yield fleet
     fleet.stop()
 
--- a/tests/test_gateway_endless.py
+++ b/tests/test_gateway_endless.py
@@ -9,10 +9,9 @@
 from filbertyard.httpcalls import MAX_BODY_BYTES
 from filbertyard.httpcalls import MAX_FRAMING_BYTES
 from filbertyard.platform.standins import SIGNED_HEAD
-from filbertyard.platform.standins import ReplicaStandin
 from gatewayfleet import GatewayFleet
 from gatewayfleet import read_reply
-from gatewayfleet import wait_until
+from gatewayfleet import start_small_fleet
 
 FILLER = b"x" * 65536
 
@@ -36,13 +35,7 @@
 
 @pytest.fixture(scope="module")
 def fleet() -> Iterator[GatewayFleet]:
-    fleet = GatewayFleet()
-    fleet.start()
-    for number in range(2):
-        fleet.add_replica(ReplicaStandin(f"e{number}", "engine", model="m0"))
-        fleet.add_replica(ReplicaStandin(f"d{number}", "desk"))
-    fleet.await_owners()
-    wait_until(lambda: len(fleet.hosts[0].state.usable("desk")) == 2)
+    fleet = start_small_fleet()
     yield fleet
     fleet.stop()
 
--- a/tests/test_gateway_refusals.py
+++ b/tests/test_gateway_refusals.py
@@ -4,20 +4,13 @@
 
 import pytest
 
-from filbertyard.platform.standins import ReplicaStandin
 from gatewayfleet import GatewayFleet
-from gatewayfleet import wait_until
+from gatewayfleet import start_small_fleet
 
 
 @pytest.fixture
 def fleet() -> Iterator[GatewayFleet]:
-    fleet = GatewayFleet()
-    fleet.start()
-    for number in range(2):
-        fleet.add_replica(ReplicaStandin(f"e{number}", "engine", model="m0"))
-        fleet.add_replica(ReplicaStandin(f"d{number}", "desk"))
-    fleet.await_owners()
-    wait_until(lambda: len(fleet.hosts[0].state.usable("desk")) == 2)
+    fleet = start_small_fleet()
     yield fleet
     fleet.stop()
 
--- a/tests/test_gateway_unframed.py
+++ b/tests/test_gateway_unframed.py
@@ -6,9 +6,8 @@
 
 from filbertyard.platform.standins import RESET
 from filbertyard.platform.standins import SIGNED_HEAD
-from filbertyard.platform.standins import ReplicaStandin
 from gatewayfleet import GatewayFleet
-from gatewayfleet import wait_until
+from gatewayfleet import start_small_fleet
 
 EVENT = b"id: 1\ndata: a1\n\n"
 CHUNKED = SIGNED_HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
@@ -20,13 +19,7 @@
 
 @pytest.fixture(scope="module")
 def fleet() -> Iterator[GatewayFleet]:
-    fleet = GatewayFleet()
-    fleet.start()
-    for number in range(2):
-        fleet.add_replica(ReplicaStandin(f"e{number}", "engine", model="m0"))
-        fleet.add_replica(ReplicaStandin(f"d{number}", "desk"))
-    fleet.await_owners()
-    wait_until(lambda: len(fleet.hosts[0].state.usable("desk")) == 2)
+    fleet = start_small_fleet()
     yield fleet
     fleet.stop()
 
