Add a test of a claim that a postponed record overwrites, known to fail

Cause under test: CallDeduplicator.write_postponed reads the record of a key and then writes over it without a compare. Another host may claim the key in between.

The test delays a claim of host a, lets host b claim and run the call while a writes its backlog, and repeats the call: it runs a second time, as host a's record says that the call did not run.

Before the fix: fails (the repeat is served instead of answered with 409).

--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -1,6 +1,7 @@
 """Calls with an idempotency key: at most one run and correct answers."""
 
 import itertools
+from collections.abc import Callable
 from collections.abc import Iterator
 
 import gevent
@@ -49,6 +50,7 @@
         self.late_writes: list[tuple[list[Compare], list[Put]]] = []
         self.writes_to_delay = 0
         self.writes = 0
+        self.after_range: Callable[[], None] | None = None
 
     def check(self) -> None:
         if self.away:
@@ -56,9 +58,13 @@
 
     def range(self, key: str, **options: object) -> RangeResult:
         self.check()
-        return RangeResult(
+        found = RangeResult(
             self.revision, [self.items[key]] if key in self.items else []
         )
+        if self.after_range is not None:
+            after_range, self.after_range = self.after_range, None
+            after_range()
+        return found
 
     def apply(self, compares: list[Compare], writes: list[Put]) -> TxnResult:
         found = {c.key: self.items.get(c.key) for c in compares}
@@ -340,6 +346,26 @@
     assert fleet.ran == {"x": 1}
 
 
+def test_a_postponed_record_does_not_replace_a_claim_written_meanwhile() -> None:
+    """Guard against a call that runs twice, as another host's claim is overwritten."""
+    fleet = Fleet(["a", "b"])
+    fleet.key_value.writes_to_delay = 2
+    (reply,) = run(fleet, "a", "x")
+    assert isinstance(reply, NotRun)
+    for deduplicator in fleet.hosts.values():
+        deduplicator.recorder.rejecting_until = 0.0
+    fleet.outcome = "failed"
+    fleet.key_value.after_range = lambda: run(fleet, "b", "x")
+    fleet.hosts["a"].write_backlog()
+    assert fleet.ran == {"x": 1}
+    fleet.outcome = "ok"
+    (reply,) = run(fleet, "a", "x")
+    assert (reply.status, reply.cause) == (409, "in_progress")
+    assert fleet.ran == {"x": 1}
+    fleet.hosts["a"].write_backlog()
+    assert not fleet.hosts["a"].backlog
+
+
 def test_large_response_is_not_replayed_as_if_complete() -> None:
     """Guard against a truncated recorded response."""
     fleet = Fleet(["a"])
