Compare the record that a postponed record of a call replaces

Cause: write_postponed passed an empty list of compares to its transaction. A claim that another host wrote between the read and the write was overwritten with not_run, and a repeat of the call ran a second time.

Ruled out: a recorder of the same host (it writes one batch at a time and compares each record).

Change: the transaction compares the revision that was read. A record whose compare fails stays in the backlog and is judged anew against what is there now; one that is out of date is dropped with a log line.

--- a/src/filbertyard/idempotency.py
+++ b/src/filbertyard/idempotency.py
@@ -499,6 +499,7 @@
 
         A recorder may still be writing an abandoned claim. That write can replace an
         absent record or one of a call that was not run, so that either is overwritten.
+        Return False if another host wrote the key meanwhile, to judge it anew.
         """
         items = self.key_value.range(key).items
         found = decode_record(items[0].value) if items else None
@@ -511,13 +512,22 @@
         else:
             replaces = found.state == "not_run" and item.record.state == "not_run"
         if not replaces:
+            log_event(
+                logger,
+                "postponed_record_dropped",
+                key=key,
+                state=item.record.state,
+                found=found.state if found is not None else None,
+                is_own=found is not None and found.attempt == attempt,
+                revision=revision,
+            )
             return True
         record = item.record
         if found is not None and found.attempt != attempt:
             record = IdempotencyRecord("not_run", attempt, found.request)
         lease = self.recorder.current_lease()
         put = Put(key, record.encode(), lease)
-        return self.key_value.txn([Compare(key, revision)][:0], [put]).succeeded
+        return self.key_value.txn([Compare(key, revision)], [put]).succeeded
 
 
 def record_key(team: str, key: str) -> str:
