Check what other processes write at one border

Cause: entries, records, reports, headers and settings of other writers were decoded by json.loads and int() with a handler for ValueError only. Deep nesting raises RecursionError and an odd version raised an unexpected ValueError, which ended the tasks that follow the lists and the one that renews the host's lease; numbers of any size, ports over 65535 and text that is not Unicode were taken over.

Ruled out: peers' frames (msgpack bounds its depth; handlers already log an exception and go on), though one odd row of a push hid the rows behind it.

Change: jsonvalues.parse_json checks size, depth, numbers and text of every document; models.py has the field types with ranges. An item that fails costs only itself, is logged once for each cause and for at most 256 keys. A replica whose entry cannot be decoded is not used; configurations, versions and records of hosts and owners keep the last value. A fault of this host's own code on one item is logged as an error and does not end the task. The product's owner and host records, records of calls and settings pass the same border; its hosts start past an odd record. Settings files of both kinds take only valid addresses, in the platform's file finite numbers.

--- a/src/filbertyard/exceptions.py
+++ b/src/filbertyard/exceptions.py
@@ -162,3 +162,4 @@
 
     def __init__(self, key: str, detail: str) -> None:
         super().__init__(f"{key}: {detail}", step="decode", peer=key)
+        self.detail = detail
--- a/src/filbertyard/gateway/state.py
+++ b/src/filbertyard/gateway/state.py
@@ -7,15 +7,19 @@
 import math
 from collections.abc import Iterable
 from dataclasses import replace
+from typing import Any
 
 import xxhash
 
 from ..exceptions import DocumentError
+from ..jsonvalues import check_address
+from ..jsonvalues import parse_json
 from ..keyvalue import Item
 from ..keyvalue import first_revision
 from ..keyvalue import generation_of
 from ..logs import log_event
 from .quarantine import Quarantine
+from .rejections import DocumentRejections
 from .types import AdapterName
 from .types import Configuration
 from .types import HostRecord
@@ -110,6 +114,7 @@
         self.former_owners: dict[str, OwnerRecord] = {}
         self.writes_lost_at = -math.inf
         self.quarantine = Quarantine()
+        self.rejections = DocumentRejections()
         self.stored_rejections: dict[str, frozenset[str]] = {}
 
     def feed_list(self) -> list[Feed]:
@@ -117,16 +122,28 @@
         return [self.operator_feed, self.replica_feed, self.gateway_feed]
 
     def apply_item(self, feed: Feed, item: Item, now: float, source: str) -> bool:
-        """Apply an item from the store or a peer; tell if other hosts need it too."""
+        """Apply an item from the store or a peer; tell if other hosts need it too.
+
+        An item that cannot be decoded costs only itself. Configurations, versions and
+        records of hosts and owners keep the last value that could be: each names what
+        was decided before. A replica is not used, as its entry may tell that it leaves.
+        """
         if not feed.put(item):
             return False
         is_needed_by_peers = True
-        if feed is self.operator_feed:
-            self.apply_operator_item(item, now, source)
-        elif feed is self.replica_feed:
-            is_needed_by_peers = self.apply_replica_entry(item, source)
-        else:
-            self.apply_gateway_record(item, now, source)
+        try:
+            if feed is self.operator_feed:
+                self.apply_operator_item(item, now, source)
+            elif feed is self.replica_feed:
+                is_needed_by_peers = self.apply_replica_entry(item, source)
+            else:
+                self.apply_gateway_record(item, now, source)
+            self.rejections.clear(item.key)
+        except DocumentError as error:
+            self.rejections.record(item.key, error.detail)
+        except Exception as error:
+            # The tasks that follow the feeds go on with the other items.
+            self.rejections.record_fault(item.key, error)
         if is_needed_by_peers:
             feed.revision = max(feed.revision, item.mod_revision)
         return is_needed_by_peers
@@ -147,6 +164,7 @@
         the store was unavailable.
         """
         is_new = feed.remove(key, revision)
+        self.rejections.clear(key)
         if feed is self.replica_feed and key not in feed.items:
             self.remove_replica(key, revision, now, source, kept_s)
         elif is_new and feed is self.gateway_feed:
@@ -206,62 +224,56 @@
         feed.begin_generation(generation)
 
     def apply_operator_item(self, item: Item, now: float, source: str) -> None:
-        """Apply a configuration or the announcement of a version."""
+        """Apply a configuration or a version's announcement; raise DocumentError."""
         layout = self.wire.layout
-        try:
-            if item.key == layout.configuration_key:
-                configuration = self.wire.read_configuration(item)
-                known = self.configuration
-                if known is not None and is_lost_since(
-                    known.revision, known.version > configuration.version, item
-                ):
-                    log_event(
-                        logger,
-                        "configuration_ignored",
-                        level=logging.WARNING,
-                        version=configuration.version,
-                        known=known.version,
-                        revision=item.mod_revision,
-                        source=source,
-                    )
-                    return
-                self.configuration = configuration
+        if item.key == layout.configuration_key:
+            configuration = self.wire.read_configuration(item)
+            known = self.configuration
+            if known is not None and is_lost_since(
+                known.revision, known.version > configuration.version, item
+            ):
                 log_event(
                     logger,
-                    "configuration_in_force",
-                    version=self.configuration.version,
+                    "configuration_ignored",
+                    level=logging.WARNING,
+                    version=configuration.version,
+                    known=known.version,
                     revision=item.mod_revision,
                     source=source,
                 )
-            elif item.key.startswith(layout.version_prefix):
-                name, version = self.wire.read_release(item)
-                if version > self.releases.get(name, 0):
-                    self.releases[name] = version
-                    log_event(
-                        logger,
-                        "version_announced",
-                        adapter=name,
-                        version=version,
-                        revision=item.mod_revision,
-                        source=source,
-                    )
-        except DocumentError as error:
+                return
+            self.configuration = configuration
             log_event(
-                logger, "document_rejected", level=logging.WARNING, error=str(error)
+                logger,
+                "configuration_in_force",
+                version=self.configuration.version,
+                revision=item.mod_revision,
+                source=source,
             )
+        elif item.key.startswith(layout.version_prefix):
+            name, version = self.wire.read_release(item)
+            if version > self.releases.get(name, 0):
+                self.releases[name] = version
+                log_event(
+                    logger,
+                    "version_announced",
+                    adapter=name,
+                    version=version,
+                    revision=item.mod_revision,
+                    source=source,
+                )
 
     def apply_replica_entry(self, item: Item, source: str) -> bool:
-        """Apply a replica entry; tell if more than its models and adapters changed."""
+        """Apply a replica entry; tell if more than its models and adapters changed.
+
+        Raise DocumentError.
+        """
         name = item.key.removeprefix(self.replica_feed.prefix)
         try:
             replica = self.wire.read_replica(item)
-        except DocumentError as error:
-            # A replica whose entry cannot be decoded is not used.
+        except BaseException:
             self.replicas.pop(name, None)
-            log_event(
-                logger, "document_rejected", level=logging.WARNING, error=str(error)
-            )
-            return True
+            raise
         known = self.replicas.get(name)
         if known is not None and is_lost_since(
             known.revision, known.supersedes(replica), item
@@ -330,62 +342,79 @@
                 log_event(logger, "replica_gone", replica=name)
 
     def apply_gateway_record(self, item: Item, now: float, source: str) -> None:
-        """Apply a host's record, the owner record of a replica or a rejection."""
-        try:
-            value = json.loads(item.value)
-            if item.key.startswith(HOST_PREFIX):
-                host = HostRecord(
-                    id=item.key.removeprefix(HOST_PREFIX),
-                    instance=str(value["instance"]),
-                    callers=str(value["callers"]),
-                    availability_zone=str(value["zone"]),
-                    is_leaving=bool(value["leaving"]),
-                )
-                known = self.hosts.get(host.id)
-                self.hosts[host.id] = host
-                self.missing_since.pop(host.id, None)
-                if known != host:
-                    log_event(
-                        logger,
-                        "host_listed",
-                        peer=host.id,
-                        instance=host.instance,
-                        leaving=host.is_leaving,
-                        revision=item.mod_revision,
-                        source=source,
-                    )
-            elif item.key.startswith(OWNER_PREFIX):
-                owner = OwnerRecord(
-                    replica=item.key.removeprefix(OWNER_PREFIX),
-                    host=str(value["host"]),
-                    instance=str(value["instance"]),
-                    fence=item.mod_revision,
-                    is_released=bool(value["released"]),
-                    wait_s=float(value["wait_s"]),
-                )
-                self.owners[owner.replica] = owner
-                log_event(
-                    logger,
-                    "owner_listed",
-                    replica=owner.replica,
-                    owner=owner.host,
-                    fence=owner.fence,
-                    released=owner.is_released or None,
-                    source=source,
-                )
-            elif item.key.startswith(REJECTION_PREFIX):
-                parts = frozenset(str(part) for part in value["parts"])
-                self.stored_rejections[item.key] = parts
-                self.quarantine.reject(parts, now + float(value["rejection_s"]))
-        except (ValueError, KeyError, TypeError) as error:
+        """Apply a host's record, the owner record of a replica or a rejection.
+
+        Raise DocumentError.
+        """
+        for prefix, apply in (
+            (HOST_PREFIX, self.apply_host_record),
+            (OWNER_PREFIX, self.apply_owner_record),
+            (REJECTION_PREFIX, self.apply_stored_rejection),
+        ):
+            if not item.key.startswith(prefix):
+                continue
+            try:
+                apply(item, parse_json(item.value, item.key), now, source)
+            except (ValueError, KeyError, TypeError) as error:
+                raise DocumentError(item.key, repr(error)) from error
+
+    def apply_host_record(
+        self, item: Item, value: dict[str, Any], now: float, source: str
+    ) -> None:
+        """Apply a host's record; raise ValueError, KeyError or TypeError."""
+        host = HostRecord(
+            id=check_address(item.key.removeprefix(HOST_PREFIX)),
+            instance=str(value["instance"]),
+            callers=check_address(str(value["callers"])),
+            availability_zone=str(value["zone"]),
+            is_leaving=bool(value["leaving"]),
+        )
+        known = self.hosts.get(host.id)
+        self.hosts[host.id] = host
+        self.missing_since.pop(host.id, None)
+        if known != host:
             log_event(
                 logger,
-                "document_rejected",
-                level=logging.WARNING,
-                key=item.key,
-                error=repr(error),
+                "host_listed",
+                peer=host.id,
+                instance=host.instance,
+                leaving=host.is_leaving,
+                revision=item.mod_revision,
+                source=source,
             )
 
+    def apply_owner_record(
+        self, item: Item, value: dict[str, Any], now: float, source: str
+    ) -> None:
+        """Apply an owner record; raise ValueError, KeyError or TypeError."""
+        owner = OwnerRecord(
+            replica=item.key.removeprefix(OWNER_PREFIX),
+            host=check_address(str(value["host"])),
+            instance=str(value["instance"]),
+            fence=item.mod_revision,
+            is_released=bool(value["released"]),
+            wait_s=float(value["wait_s"]),
+        )
+        self.owners[owner.replica] = owner
+        log_event(
+            logger,
+            "owner_listed",
+            replica=owner.replica,
+            owner=owner.host,
+            fence=owner.fence,
+            released=owner.is_released or None,
+            source=source,
+        )
+
+    def apply_stored_rejection(
+        self, item: Item, value: dict[str, Any], now: float, source: str
+    ) -> None:
+        """Apply the rejection of a prompt; raise ValueError, KeyError or TypeError."""
+        parts = frozenset(str(part) for part in value["parts"])
+        until = now + float(value["rejection_s"])
+        self.stored_rejections[item.key] = parts
+        self.quarantine.reject(parts, until)
+
     def remove_gateway_record(self, key: str, now: float, source: str) -> None:
         """Remove a host's record, the owner record of a replica or a rejection."""
         if key.startswith(HOST_PREFIX):
--- a/src/filbertyard/gateway/sync.py
+++ b/src/filbertyard/gateway/sync.py
@@ -7,6 +7,7 @@
 import random
 import time
 from collections.abc import Callable
+from typing import Any
 
 import gevent
 from result import Err
@@ -216,14 +217,29 @@
     ) -> None:
         """Apply changes of a feed that a peer sent."""
         now = time.monotonic()
-        for key, value, revision in changes.items:
-            self.state.apply_item(feed, Item(key, value, 0, revision), now, peer)
+        for row in changes.items:
+            match row:
+                case [str(key), bytes(value), int(revision)]:
+                    self.state.apply_item(
+                        feed, Item(key, value, 0, revision), now, peer
+                    )
+                case _:
+                    self.reject_row(peer, feed, row)
         # A push has only what a watch reported.
         kept_s = changes.kept_s if isinstance(changes, FeedChanges) else {}
-        for key, revision in changes.removed:
-            self.state.apply_removal(
-                feed, key, revision, now, peer, kept_s=kept_s.get(key, 0.0)
-            )
+        for row in changes.removed:
+            match row:
+                case [str(key), int(revision)]:
+                    self.state.apply_removal(
+                        feed, key, revision, now, peer, kept_s=kept_s.get(key, 0.0)
+                    )
+                case _:
+                    self.reject_row(peer, feed, row)
+
+    def reject_row(self, peer: str, feed: Feed, row: Any) -> None:
+        """Log a change that a peer sent in a form that this host does not know."""
+        cause = f"unknown form of a change: {ascii(row)[:80]}"
+        self.state.rejections.record(f"{feed.prefix} of {peer}", cause)
 
     def handle_push(self, peer: str, push: FeedPush) -> None:
         """Apply changes that a feed hub pushed."""
--- a/src/filbertyard/httpcalls.py
+++ b/src/filbertyard/httpcalls.py
@@ -417,7 +417,7 @@
         """Return the parsed body; raise UpstreamError if it is not JSON."""
         try:
             return json.loads(data) if data else None
-        except ValueError as error:
+        except (ValueError, RecursionError) as error:
             raise UpstreamError(
                 f"response is not JSON: {data[:80]!r}",
                 step=self.step,
--- a/src/filbertyard/idempotency.py
+++ b/src/filbertyard/idempotency.py
@@ -26,8 +26,10 @@
 from result import Result
 
 from .calls import Call
+from .exceptions import DocumentError
 from .exceptions import KeyValueError
 from .exceptions import PeerError
+from .jsonvalues import parse_json
 from .keyvalue import Compare
 from .keyvalue import KeyValue
 from .keyvalue import Put
@@ -139,13 +141,13 @@
 def decode_record(value: bytes) -> IdempotencyRecord | None:
     """Return a record, or None if the value is malformed."""
     try:
-        data = json.loads(value)
+        data = parse_json(value, "record of a call")
         if data["state"] not in ("started", "done", "not_run"):
             return None
         return IdempotencyRecord(
             data["state"], str(data["attempt"]), data["request"], data["response"]
         )
-    except (ValueError, TypeError, KeyError):
+    except (DocumentError, ValueError, TypeError, KeyError):
         return None
 
 
--- a/src/filbertyard/keyvalue.py
+++ b/src/filbertyard/keyvalue.py
@@ -4,8 +4,10 @@
 
 import base64
 import json
+import logging
 from collections import Counter
 from collections.abc import Callable
+from collections.abc import Iterable
 from collections.abc import Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass
@@ -13,11 +15,19 @@
 from typing import Any
 from typing import Literal
 from typing import Protocol
+from typing import TypeVar
 
+from .exceptions import DocumentError
 from .exceptions import KeyValueUnavailableError
 from .exceptions import UpstreamError
 from .httpcalls import HttpPeer
 from .httpcalls import create_http_peer
+from .jsonvalues import parse_json
+from .logs import log_event
+
+logger = logging.getLogger(__name__)
+
+D = TypeVar("D")
 
 MAX_VALUE_BYTES = 1 << 20
 
@@ -170,6 +180,31 @@
     return prefix[:-1] + chr(ord(prefix[-1]) + 1)
 
 
+def parse_object(item: Item) -> dict[str, Any]:
+    """Return the JSON object that an item holds; raise DocumentError."""
+    value = parse_json(item.value, item.key)
+    if not isinstance(value, dict):
+        raise DocumentError(item.key, "expected a JSON object")
+    return value
+
+
+def decode_items(
+    items: Iterable[Item], decode: Callable[[Item], D]
+) -> Iterator[tuple[Item, D]]:
+    """Yield each item with its decoded value; log and leave out invalid ones."""
+    for item in items:
+        try:
+            yield item, decode(item)
+        except DocumentError as error:
+            log_event(
+                logger,
+                "document_rejected",
+                level=logging.WARNING,
+                key=item.key,
+                error=error.detail,
+            )
+
+
 def parse_item(data: dict[str, Any]) -> Item:
     """Parse one `mvccpb.KeyValue` of the JSON gateway."""
     return Item(
--- a/src/filbertyard/membership.py
+++ b/src/filbertyard/membership.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import itertools
-import json
 import logging
 import math
 import random
@@ -20,6 +19,9 @@
 from gevent.event import Event
 from result import Ok
 
+from .exceptions import DocumentError
+from .keyvalue import Item
+from .keyvalue import parse_object
 from .leases import LeaseInfo
 from .leases import Witness
 from .logs import log_event
@@ -643,8 +645,11 @@
     return xxhash.xxh64_intdigest(f"{kind}|{key}") % DIGEST_BUCKETS
 
 
-def parse_member(data: bytes | str) -> Member:
-    """Parse the member in a host record; raise ValueError."""
-    value = json.loads(data)
+def parse_member(item: Item) -> Member:
+    """Parse the member in a host record; raise DocumentError."""
+    value = parse_object(item)
     names = Member.__dataclass_fields__
-    return Member(**{k: v for k, v in value.items() if k in names})
+    try:
+        return Member(**{k: v for k, v in value.items() if k in names})
+    except (TypeError, ValueError) as error:
+        raise DocumentError(item.key, repr(error)) from error
--- a/src/filbertyard/ownership.py
+++ b/src/filbertyard/ownership.py
@@ -19,12 +19,15 @@
 from .events import EventLog
 from .events import HandoverEvent
 from .events import TakeoverEvent
+from .exceptions import DocumentError
 from .exceptions import KeyValueUnavailableError
 from .keyvalue import Compare
 from .keyvalue import Delete
 from .keyvalue import Item
 from .keyvalue import KeyValue
 from .keyvalue import Put
+from .keyvalue import decode_items
+from .keyvalue import parse_object
 from .leases import CollectedGrants
 from .leases import Grant
 from .leases import GrantRelease
@@ -235,8 +238,9 @@
 
     def load(self) -> None:
         """Read all records once; raise KeyValueUnavailableError."""
-        for item in read_pages(self.key_value, OWNERS_PREFIX):
-            self.apply_record(parse_owner(item))
+        items = read_pages(self.key_value, OWNERS_PREFIX)
+        for _, record in decode_items(items, parse_owner):
+            self.apply_record(record)
 
     def start(self) -> None:
         """Start claiming and taking over."""
@@ -422,12 +426,12 @@
 
     def apply_found_record(self, item: Item) -> None:
         """Apply a record read from the service; announce it if it names this host."""
-        record = parse_owner(item)
-        self.unconfirmed_writes.discard(record.resource)
-        if record.lease == self.lease.lease:
-            self.publish(record)
-        else:
-            self.apply_record(record)
+        for _, record in decode_items([item], parse_owner):
+            self.unconfirmed_writes.discard(record.resource)
+            if record.lease == self.lease.lease:
+                self.publish(record)
+            else:
+                self.apply_record(record)
 
     def resolve_pending_writes(self) -> None:
         """Read back writes without a response and record provisional takeovers."""
@@ -565,7 +569,10 @@
         try:
             items = self.key_value.range(HOSTS_PREFIX + host).items
             revision = items[0].mod_revision if items else 0
-            found = find_lease(json.loads(items[0].value), lease) if items else None
+            found = next(
+                (find_lease(v, lease) for _, v in decode_items(items, parse_object)),
+                None,
+            )
         except KeyValueUnavailableError:
             member = self.membership.members.get(host)
             if member is None or member.lease != lease:
@@ -720,8 +727,8 @@
     def remove_host_record(self, lease: str, host: str) -> None:
         """Remove the record of a host whose last resources were taken over."""
         key = HOSTS_PREFIX + host
-        for item in self.key_value.range(key).items:
-            value = json.loads(item.value)
+        found = self.key_value.range(key).items
+        for item, value in decode_items(found, parse_object):
             if value.get("lease") == lease and not value.get("previous"):
                 self.key_value.txn([Compare(key, item.mod_revision)], [Delete(key)])
 
@@ -926,10 +933,14 @@
 
 
 def parse_owner(item: Item) -> OwnerRecord:
-    """Parse an owner record."""
-    value = json.loads(item.value)
+    """Parse an owner record; raise DocumentError."""
+    value = parse_object(item)
     resource = item.key.removeprefix(OWNERS_PREFIX)
-    return OwnerRecord(resource, value["host"], value["lease"], item.mod_revision)
+    match value:
+        case {"host": str(host), "lease": str(lease)}:
+            return OwnerRecord(resource, host, lease, item.mod_revision)
+        case _:
+            raise DocumentError(item.key, "expected the names of a host and a lease")
 
 
 def max_owned_per_host(resources: int, hosts: int) -> int:
--- a/src/filbertyard/peers.py
+++ b/src/filbertyard/peers.py
@@ -29,6 +29,7 @@
 from .exceptions import CallerDisconnectedError
 from .exceptions import FrameError
 from .exceptions import PeerError
+from .jsonvalues import is_address
 from .logs import log_event
 from .messages import CODECS
 from .messages import MAX_FRAME_BYTES
@@ -462,9 +463,9 @@
             if connection is not None and not connection.closed:
                 return connection
             address = self.find_address(host)
-            if address is None:
+            if address is None or not is_address(address):
                 raise PeerError(
-                    "no address known", step="connect", peer=host, sent=False
+                    "no valid address known", step="connect", peer=host, sent=False
                 )
             try:
                 connection = self.dial(host, address)
--- a/src/filbertyard/platform/documents.py
+++ b/src/filbertyard/platform/documents.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import json
+import re
 from typing import Any
 from typing import Literal
 
@@ -24,7 +24,14 @@
 from ..gateway.types import Service
 from ..gateway.types import WeightedService
 from ..gateway.types import create_configuration
+from ..jsonvalues import parse_count
+from ..jsonvalues import parse_json
 from ..keyvalue import Item
+from ..models import Address
+from ..models import Count
+from ..models import PositiveCount
+from ..models import PositiveQuantity
+from ..models import Quantity
 
 # Prefix of all keys that the operator writes.
 OPERATOR_PREFIX = "op/"
@@ -32,6 +39,9 @@
 VERSION_PREFIX = "op/version/"
 REPLICA_PREFIX = "servers/"
 
+# Ids of replicas stand in headers of requests.
+REPLICA_ID_PATTERN = re.compile(r"[!-~]{1,200}")
+
 REQUEST_KINDS: dict[str, RequestKind] = {
     "idempotent": "idempotent",
     "non_idempotent": "non_idempotent",
@@ -49,7 +59,7 @@
     """One of several weighted services of a route."""
 
     service: str
-    weight: float = Field(ge=0)
+    weight: Quantity
 
 
 class RouteDocument(Document):
@@ -59,15 +69,15 @@
     host: str
     prefix: str
     kind: Literal["idempotent", "non_idempotent", "streaming"]
-    timeout_ms: float = Field(alias="timeoutMs", gt=0)
-    objective_ms: float = Field(default=1000.0, alias="targetLatencyMs")
-    priority: int = 5
+    timeout_ms: PositiveQuantity = Field(alias="timeoutMs")
+    objective_ms: Quantity = Field(default=1000.0, alias="targetLatencyMs")
+    priority: Count = 5
     service: str = ""
     backends: list[BackendDocument] = []
     # Maximum number of replicas for one attempt of a caller; sends don't count.
-    max_attempts: int = Field(default=1, alias="maxAttempts")
+    max_attempts: Count = Field(default=1, alias="maxAttempts")
     resumable: bool = False
-    gap_ms: float = Field(default=0.0, alias="gapTargetMs", ge=0)
+    gap_ms: Quantity = Field(default=0.0, alias="gapTargetMs")
 
     def decode(self) -> Route:
         """Convert to the gateway's route type."""
@@ -97,21 +107,21 @@
     """Memory sizes and load time of one base model."""
 
     name: str
-    weights_mb: float = Field(default=0.0, alias="weightsMb")
-    load_s: float = Field(default=1.0, alias="loadS")
-    adapter_mb: float = Field(default=0.0, alias="adapterMb")
+    weights_mb: Quantity = Field(default=0.0, alias="weightsMb")
+    load_s: Quantity = Field(default=1.0, alias="loadS")
+    adapter_mb: Quantity = Field(default=0.0, alias="adapterMb")
 
 
 class EngineDocument(Document):
     """Capacity of one replica of a model engine."""
 
-    slots: int = Field(gt=0)
-    kv_tokens: int = Field(alias="kvCapacityTokens", gt=0)
-    adapter_slots: int = Field(default=0, alias="adapterSlots")
-    weights_mb: float = Field(default=0.0, alias="weightsMb")
+    slots: PositiveCount
+    kv_tokens: PositiveCount = Field(alias="kvCapacityTokens")
+    adapter_slots: Count = Field(default=0, alias="adapterSlots")
+    weights_mb: Quantity = Field(default=0.0, alias="weightsMb")
     models: list[ModelDocument] = []
     # Tokens per event of a stream.
-    stride: int = Field(default=1, gt=0)
+    stride: PositiveCount = 1
 
     def decode(self) -> EngineLimits:
         """Convert to the gateway's engine limits."""
@@ -133,23 +143,23 @@
     """A service and the capacity of its replicas."""
 
     name: str
-    max_connections: int = Field(default=100, alias="maxConnections")
+    max_connections: Count = Field(default=100, alias="maxConnections")
     engine: EngineDocument | None = None
 
 
 class LimitsDocument(Document):
     """Limits on the requests of callers."""
 
-    head_bytes: int = Field(alias="maxHeaderBytes")
-    body_bytes: int = Field(alias="maxBodyBytes")
-    head_ms: float = Field(alias="headerTimeoutMs")
-    idle_ms: float = Field(alias="idleTimeoutMs")
+    head_bytes: Count = Field(alias="maxHeaderBytes")
+    body_bytes: Count = Field(alias="maxBodyBytes")
+    head_ms: Quantity = Field(alias="headerTimeoutMs")
+    idle_ms: Quantity = Field(alias="idleTimeoutMs")
 
 
 class ConfigurationDocument(Document):
     """The newest configuration, always complete."""
 
-    version: int
+    version: Count
     routes: list[RouteDocument]
     services: list[ServiceDocument]
     limits: LimitsDocument | None = None
@@ -159,7 +169,7 @@
     """One base model that is resident on a replica."""
 
     name: str
-    version: int = 1
+    version: Count = 1
     # Resident adapters as NAME@VERSION.
     adapters: list[str] = []
 
@@ -168,25 +178,25 @@
     """A replica's entry for itself; its id is only in the key."""
 
     service: str
-    address: str = Field(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")
+    address: Address
     zone: str = ""
-    slots: int = Field(default=1, gt=0)
+    slots: PositiveCount = 1
     state: Literal["ready", "draining"]
-    born: int = 0
+    born: Count = 0
     models: list[ResidentModelDocument] = []
 
 
 class ReportDocument(Document):
     """The state that a model engine reports."""
 
-    sequence: int
+    sequence: Count
     busy: bool = False
     models: list[ResidentModelDocument] = []
     # Adapters being loaded from the store, as MODEL/NAME@VERSION.
     pending: list[str] = []
-    born: int = 0
-    running: int = 0
-    queued: int = 0
+    born: Count = 0
+    running: Count = 0
+    queued: Count = 0
     # Rows of request id, tokens in memory, generated events and priority.
     runs: list[list[Any]] = []
 
@@ -196,15 +206,7 @@
 
     model: str
     adapter: str
-    version: int
-
-
-def parse_json(data: bytes, what: str) -> Any:
-    """Parse JSON; raise DocumentError."""
-    try:
-        return json.loads(data)
-    except ValueError as error:
-        raise DocumentError(what, f"not JSON: {data[:40]!r}") from error
+    version: Count
 
 
 def validate(model: type[Document], data: bytes, what: str) -> Any:
@@ -217,20 +219,29 @@
         raise DocumentError(what, f"{field}: {first['msg']}") from error
 
 
-def split_version(text: str) -> tuple[str, int]:
-    """Split NAME@VERSION; a name without a version has version 1."""
-    name, _, version = text.partition("@")
-    return name, int(version) if version.isdigit() else 1
+def split_version(text: str, what: str) -> tuple[str, int]:
+    """Split NAME@VERSION; a name without a version has version 1.
+
+    Raise DocumentError for a version that is not a number.
+    """
+    name, separator, number = text.partition("@")
+    version = parse_count(number) if separator else 1
+    if version is None:
+        raise DocumentError(what, f"{text[:40]!r}: expected NAME@VERSION")
+    return name, version
 
 
 def decode_resident(
-    models: list[ResidentModelDocument],
+    models: list[ResidentModelDocument], what: str
 ) -> tuple[dict[str, int], dict[AdapterName, int]]:
-    """Return the versions of a replica's resident models and adapters."""
+    """Return the versions of a replica's resident models and adapters.
+
+    Raise DocumentError.
+    """
     adapters: dict[AdapterName, int] = {}
     for model in models:
         for text in model.adapters:
-            name, version = split_version(text)
+            name, version = split_version(text, what)
             adapters[AdapterName(model.name, name)] = version
     return {model.name: model.version for model in models}, adapters
 
@@ -265,10 +276,13 @@
 
 def decode_replica(item: Item) -> Replica:
     """Decode a replica's entry; raise DocumentError if it is invalid."""
+    replica_id = item.key.removeprefix(REPLICA_PREFIX)
+    if not REPLICA_ID_PATTERN.fullmatch(replica_id):
+        raise DocumentError(ascii(item.key[:80]), "an id that no header can hold")
     document = validate(ReplicaDocument, item.value, item.key)
-    models, adapters = decode_resident(document.models)
+    models, adapters = decode_resident(document.models, item.key)
     return Replica(
-        id=item.key.removeprefix(REPLICA_PREFIX),
+        id=replica_id,
         service=document.service,
         address=document.address,
         zone=document.zone,
@@ -289,12 +303,13 @@
 
 def decode_report(data: bytes, replica: str) -> EngineReport:
     """Decode an engine's report; raise DocumentError."""
-    document = validate(ReportDocument, data, f"report of {replica}")
-    models, adapters = decode_resident(document.models)
+    what = f"report of {replica}"
+    document = validate(ReportDocument, data, what)
+    models, adapters = decode_resident(document.models, what)
     pending: dict[AdapterName, int] = {}
     for text in document.pending:
         model, _, rest = text.partition("/")
-        name, version = split_version(rest)
+        name, version = split_version(rest, what)
         pending[AdapterName(model, name)] = version
     return EngineReport(
         sequence=document.sequence,
--- a/src/filbertyard/platform/settings.py
+++ b/src/filbertyard/platform/settings.py
@@ -13,6 +13,9 @@
 from ..exceptions import SettingsError
 from ..gateway.settings import GatewayBounds
 from ..gateway.settings import GatewaySettings
+from ..models import Address
+from ..models import PositiveQuantity
+from ..models import Quantity
 
 SETTINGS_VARIABLE = "FILBERTYARD_NODE_FILE"
 
@@ -20,36 +23,34 @@
 
 KEY_VALUE_FORM = "drakensig"
 
-ADDRESS_PATTERN = r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$"
-
 
 class Listen(BaseModel):
     """Addresses that a process listens on."""
 
     # `front` is for callers, `control` for other hosts.
-    front: str = Field(pattern=ADDRESS_PATTERN)
-    ready: str = Field(pattern=ADDRESS_PATTERN)
-    control: str = Field(pattern=ADDRESS_PATTERN)
-    directory: str = Field(pattern=ADDRESS_PATTERN)
+    front: Address
+    ready: Address
+    control: Address
+    directory: Address
 
 
 class Bounds(BaseModel):
     """Bounds that the gateway uses."""
 
-    drain_ms: float = Field(alias="drainMs", ge=0)
-    grace_s: float = Field(alias="graceS", ge=0)
+    drain_ms: Quantity = Field(alias="drainMs")
+    grace_s: Quantity = Field(alias="graceS")
     # Minimum time between the orders of two successive owners, not a store lease.
-    lease_ms: float = Field(alias="leaseMs", ge=0)
-    retry_ratio: float = Field(alias="retryBudgetRatio", ge=0)
-    retry_window_s: float = Field(alias="budgetWindowS", gt=0)
-    retry_slack: float = Field(alias="budgetSlack", ge=0)
-    ttl_max_s: float = Field(default=5.0, gt=0)
+    lease_ms: Quantity = Field(alias="leaseMs")
+    retry_ratio: Quantity = Field(alias="retryBudgetRatio")
+    retry_window_s: PositiveQuantity = Field(alias="budgetWindowS")
+    retry_slack: Quantity = Field(alias="budgetSlack")
+    ttl_max_s: PositiveQuantity = 5.0
 
 
 class Provider(BaseModel):
     """Address of the platform's store."""
 
-    address: str = Field(pattern=ADDRESS_PATTERN)
+    address: Address
 
 
 class NodeFile(BaseModel):
@@ -61,7 +62,7 @@
     ip: str
     zone: str
     region: str
-    seeds: list[str] = []
+    seeds: list[Address] = []
     zones: dict[str, str] = {}
     listen: Listen
     bounds: Bounds
@@ -72,16 +73,16 @@
     """Read and validate a settings file; raise SettingsError naming the field."""
     try:
         node = NodeFile.model_validate(tomllib.loads(path.read_text()))
-    except (OSError, tomllib.TOMLDecodeError) as error:
-        raise SettingsError(
-            "", str(error), "a readable TOML file", file=str(path)
-        ) from error
     except ValidationError as error:
         first = error.errors()[0]
         field = ".".join(str(part) for part in first["loc"])
         raise SettingsError(
             field, repr(first["input"])[:80], first["msg"], file=str(path)
         ) from error
+    except (OSError, ValueError, RecursionError) as error:
+        raise SettingsError(
+            "", str(error)[:200], "a readable TOML file", file=str(path)
+        ) from error
     bounds = node.bounds
     return GatewaySettings(
         name=node.node_name,
--- a/src/filbertyard/platform/store.py
+++ b/src/filbertyard/platform/store.py
@@ -17,6 +17,7 @@
 from ..exceptions import UpstreamError
 from ..httpcalls import HttpPeer
 from ..httpcalls import create_http_peer
+from ..jsonvalues import parse_count
 from ..keyvalue import Compare
 from ..keyvalue import Delete
 from ..keyvalue import Item
@@ -112,11 +113,12 @@
 
     def record_era(self, text: str, name: str) -> None:
         """Record the era of a response; raise KeyValueUnavailableError if it is old."""
-        if not text.isdecimal():
-            if text:
-                raise self.unavailable(f"unreadable era {text[:20]!r}", name)
+        if not text:
             return
-        generation = max(0, int(text) - FIRST_ERA)
+        era = parse_count(text)
+        if era is None:
+            raise self.unavailable(f"unreadable era {text[:20]!r}", name)
+        generation = max(0, era - FIRST_ERA)
         if generation < self.generation:
             raise self.unavailable(
                 f"response of era {text}, before the store lost writes", name
--- a/src/filbertyard/platform/wireformat.py
+++ b/src/filbertyard/platform/wireformat.py
@@ -18,6 +18,7 @@
 from ..gateway.wire import Order
 from ..gateway.wire import OrderResult
 from ..gateway.wire import ResponseHead
+from ..jsonvalues import parse_count
 from ..keyvalue import Item
 from . import documents
 
@@ -293,12 +294,13 @@
 
 def parse_server_load(text: str) -> tuple[int, int]:
     """Parse a replica's running and waiting requests, -1 running if unknown."""
-    parts = text.split(",")
-    try:
-        return int(parts[0]), int(parts[1])
-    except (ValueError, IndexError):
-        # The header is optional: not every service reports its load.
-        return -1, 0
+    counts = [parse_count(part.strip()) for part in text.split(",", 2)[:2]]
+    match counts:
+        case [int(running), int(waiting)]:
+            return running, waiting
+        case _:
+            # The header is optional: not every service reports its load.
+            return -1, 0
 
 
 def parse_server_limit(values: list[str]) -> float | None:
--- a/src/filbertyard/registration.py
+++ b/src/filbertyard/registration.py
@@ -20,6 +20,8 @@
 from .keyvalue import Item
 from .keyvalue import KeyValue
 from .keyvalue import Put
+from .keyvalue import decode_items
+from .keyvalue import parse_object
 from .leases import MAX_WITNESSES
 from .leases import RENEW_INTERVAL_S
 from .leases import GrantRelease
@@ -163,13 +165,18 @@
 
     def read_host_records(self) -> None:
         """Read the records of all hosts; raise KeyValueUnavailableError."""
-        for item in read_pages(self.key_value, HOSTS_PREFIX):
+        items = read_pages(self.key_value, HOSTS_PREFIX)
+        for item, member in decode_items(items, parse_member):
             incarnation = item.mod_revision << INCARNATION_SHIFT_BITS
-            self.membership.add_unconfirmed(parse_member(item.value), incarnation)
+            self.membership.add_unconfirmed(member, incarnation)
 
     def add_previous_leases(self, item: Item) -> None:
         """Keep the leases of earlier instances for this host's record."""
-        value = json.loads(item.value)
+        for _, value in decode_items([item], parse_object):
+            self.add_previous_lease(value)
+
+    def add_previous_lease(self, value: dict[str, Any]) -> None:
+        """Keep the lease of an earlier instance for this host's record."""
         if str(value.get("lease", "")).startswith(self.local_member.instance):
             return
         earlier = {
@@ -322,8 +329,7 @@
     def apply_present_record(self, items: list[Item]) -> None:
         """Use the revision of the present record for the next write."""
         self.revision = items[0].mod_revision if items else 0
-        for item in items:
-            member = parse_member(item.value)
+        for item, member in decode_items(items, parse_member):
             pending = self.pending
             if pending is not None and (member.lease, member.generation) == (
                 pending.lease,
@@ -432,9 +438,12 @@
 
 def find_lease(value: dict[str, Any], lease: str) -> tuple[LeaseInfo, str] | None:
     """Return a lease of a host record and the host's address at that time."""
-    for found in [value, *value.get("previous", [])]:
-        if found.get("lease") == lease:
-            witnesses = tuple(Witness(*pair) for pair in found.get("witnesses", []))
-            info = LeaseInfo(lease, witnesses, int(found.get("generation", 0)))
-            return info, str(found.get("peers", ""))
+    try:
+        for found in [value, *value.get("previous", [])]:
+            if found.get("lease") == lease:
+                witnesses = tuple(Witness(*pair) for pair in found.get("witnesses", []))
+                info = LeaseInfo(lease, witnesses, int(found.get("generation", 0)))
+                return info, str(found.get("peers", ""))
+    except (AttributeError, TypeError, ValueError) as error:
+        log_event(logger, "host_record_malformed", lease=lease, error=repr(error))
     return None
--- a/src/filbertyard/settingstree.py
+++ b/src/filbertyard/settingstree.py
@@ -18,10 +18,12 @@
 from pydantic import TypeAdapter
 from pydantic import ValidationError
 
+from .exceptions import DocumentError
 from .exceptions import InvalidChangeError
 from .exceptions import SettingsError
 from .hostsettings import NAME_PATTERN
 from .hostsettings import describe_fault
+from .jsonvalues import parse_json
 from .teamsettings import CHUNKS
 from .teamsettings import DEFAULT_PATIENCE_FACTOR
 from .teamsettings import AdapterRow
@@ -484,9 +486,9 @@
 def parse_object(path: str, data: bytes) -> Tree:
     """Parse a JSON object with a revision; raise SettingsError."""
     try:
-        tree = json.loads(data)
-    except ValueError as error:
-        raise SettingsError(path, repr(data[:40]), "a JSON object") from error
+        tree = parse_json(data, path)
+    except DocumentError as error:
+        raise SettingsError(path, error.detail, "a JSON object") from error
     if not isinstance(tree, dict) or not isinstance(tree.get("revision"), int):
         raise SettingsError(path, repr(data[:40]), "an object with a revision")
     return tree
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -2,6 +2,7 @@
 
 import json
 from collections.abc import Iterator
+from contextlib import suppress
 from typing import Any
 
 import gevent
@@ -112,10 +113,9 @@
         for key in ("filbertyard/owners/r", "filbertyard/prompts/p"):
             item = Item(key, content, 1, number)
             state.apply_item(state.gateway_feed, item, 0.0, "test")
-        try:
+        with suppress(DocumentError):
             documents.decode_report(content, "r")
-        except DocumentError:
-            continue
+    assert not state.rejections.faults
 
 
 # Whole hosts.
