Send heartbeats to the hubs of the own zone, which pass them on

Cause: each host of a large fleet sent its digest to the hubs of all zones, 15 of them with five zones, twice a second; each hub received the digests of all hosts. The messages of a host grew with the number of zones, those of a hub and the bytes between zones with the fleet. Hosts also chose the hubs anew for every message, by hashing and sorting all hosts.

Ruled out: a longer interval (the loss of a host would be noticed later everywhere).

Change: a host sends its digest to the three hubs of its zone; each hub sends the list of its zone to the hubs of the others, in full when it changes, for new hubs and every 6 s. Rosters are written and read in gateway/rosters.py; a list is decoded once and not with each roster. Hosts of other zones are left out 0.65 s later, as their heartbeats pass one more hub. A host whose hubs are silent sends to all as before. The hubs are kept until the hosts that they are chosen from change.

--- a/src/filbertyard/gateway/fleet.py
+++ b/src/filbertyard/gateway/fleet.py
@@ -9,7 +9,6 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import replace
-from typing import Any
 
 import gevent
 
@@ -23,6 +22,8 @@
 from .messages import Digest
 from .messages import FeedPush
 from .messages import Roster
+from .rosters import RosterReader
+from .rosters import RosterWriter
 from .state import GatewayState
 
 logger = logging.getLogger(__name__)
@@ -43,12 +44,15 @@
 # A new host gets a heartbeat of each live host in the store within this time.
 STARTUP_DISCOVERY_S = 2.0
 
+# Heartbeats from other zones pass one more hub in a large fleet, so that they are older
+# by an interval with its jitter and the rounding of ages.
+RELAY_DELAY_S = 0.65
+
 # Hubs send the full list of hosts to their spokes this often, and at each change.
 FULL_ROSTER_INTERVAL_S = 2.0
 
-# Unit of the ages in a roster; the maximum also stands for hosts silent for longer.
-AGE_UNIT_S = 0.1
-MAX_AGE_UNITS = 255
+# The same for the hosts of a zone to the hubs of the others.
+FULL_ZONE_ROSTER_INTERVAL_S = 6.0
 
 
 @dataclass(slots=True)
@@ -87,11 +91,11 @@
         self.compare_revisions = compare_revisions
         self.on_restart = on_restart
         self.members: dict[str, PeerHost] = {}
-        self.rosters: dict[str, Roster] = {}
-        self.roster_rows: list[list[Any]] = []
-        self.roster_spokes: set[str] = set()
-        self.roster_number = 0
-        self.full_roster_at = -math.inf
+        self.rosters = RosterReader()
+        self.spoke_rosters = RosterWriter("", FULL_ROSTER_INTERVAL_S)
+        self.zone_rosters = RosterWriter(zone, FULL_ZONE_ROSTER_INTERVAL_S)
+        self.hub_zones: dict[str, str] = {}
+        self.known_hubs: dict[str, str] = {}
         self.started_at = time.monotonic()
         peers.handle(Digest, self.handle_digest)
         peers.handle(Roster, self.handle_roster)
@@ -108,19 +112,24 @@
     def reachable(self) -> set[str]:
         """Return the hosts with a recent heartbeat."""
         now = time.monotonic()
+        is_large = self.is_large()
         return {
             key
             for key, peer in self.members.items()
-            if now - peer.last_seen_at < PEER_TIMEOUT_S
+            if now - peer.last_seen_at < self.timeout_s(peer, is_large)
         }
 
+    def timeout_s(self, peer: PeerHost, is_large: bool) -> float:
+        """Return after how long without a heartbeat a host is left out."""
+        is_relayed = is_large and peer.digest.zone != self.zone
+        return PEER_TIMEOUT_S + RELAY_DELAY_S * is_relayed
+
     def active_zones(self) -> dict[str, str]:
         """Return the availability zones of the live hosts that are not stopping."""
-        now = time.monotonic()
         return {
-            key: peer.digest.zone
-            for key, peer in self.members.items()
-            if now - peer.last_seen_at < PEER_TIMEOUT_S and not peer.digest.is_leaving
+            key: self.members[key].digest.zone
+            for key in self.reachable()
+            if not self.members[key].digest.is_leaving
         }
 
     def zone_peers(self) -> dict[str, bool]:
@@ -153,7 +162,10 @@
     def hubs(self) -> dict[str, str]:
         """Return the hubs of a large fleet and their availability zones."""
         zones = self.expected_zones()
-        return {key: zones[key] for key in all_hubs(zones)}
+        if zones != self.hub_zones:
+            self.hub_zones = zones
+            self.known_hubs = {key: zones[key] for key in all_hubs(zones)}
+        return self.known_hubs
 
     def is_hub(self) -> bool:
         """Tell if this host sends messages on to others of its zone."""
@@ -174,6 +186,8 @@
 
     def is_large(self) -> bool:
         """Tell if the fleet is too large for every host to message every other one."""
+        if len(self.members) >= MAX_MESH_HOSTS:
+            return True
         return len(self.peer_ids()) >= MAX_MESH_HOSTS
 
     def broadcast_targets(self) -> set[str]:
@@ -191,6 +205,20 @@
             return set(hubs) - {self.id}
         return self.peer_ids()
 
+    def heartbeat_targets(self) -> set[str]:
+        """Return the hosts to which this one sends its heartbeats directly.
+
+        In a large fleet only the hubs of its zone get them, and pass them on.
+        """
+        found = self.broadcast_targets()
+        if not self.is_large():
+            return found
+        hubs = self.hubs()
+        if not found <= set(hubs):
+            # The hubs of the zone are silent.
+            return found
+        return {key for key in found if hubs[key] == self.zone}
+
     def send_interval_s(self, min_interval_s: float) -> float:
         """Return an interval between broadcasts that bounds the rate of messages."""
         return max(min_interval_s, len(self.broadcast_targets()) / MAX_MESSAGES_PER_S)
@@ -217,16 +245,36 @@
     def run(self) -> None:
         """Send heartbeats to the other hosts, forever."""
         while True:
-            self.broadcast(self.describe())
-            spokes = self.spokes()
-            if spokes:
-                self.send(spokes, self.create_roster(spokes))
+            self.send_heartbeats()
             self.drop_silent_hosts()
             self.state.drop_expired_replicas(time.monotonic())
             gevent.sleep(
                 self.send_interval_s(DIGEST_INTERVAL_S) * random.uniform(0.9, 1.1)
             )
 
+    def send_heartbeats(self) -> None:
+        """Send this host's heartbeat and, as a hub, those that it knows."""
+        self.send(self.heartbeat_targets(), self.describe())
+        if not self.is_hub():
+            return
+        now = time.monotonic()
+        own = self.describe()
+        seen = {
+            key: (peer.digest, peer.last_seen_at) for key, peer in self.members.items()
+        }
+        spokes = self.spokes()
+        if spokes:
+            self.send(spokes, self.spoke_rosters.create(own, seen, spokes, now))
+        other_hubs = {key for key, zone in self.hubs().items() if zone != self.zone}
+        if other_hubs:
+            of_zone = {
+                key: (digest, at)
+                for key, (digest, at) in seen.items()
+                if digest.zone == self.zone
+            }
+            roster = self.zone_rosters.create(own, of_zone, other_hubs, now)
+            self.send(other_hubs, roster)
+
     def drop_silent_hosts(self) -> None:
         """Remove silent hosts that the store does not list; reconnect to others."""
         now = time.monotonic()
@@ -236,43 +284,12 @@
                 and key not in self.state.hosts
             ):
                 del self.members[key]
-                self.rosters.pop(key, None)
+                self.rosters.forget(key)
                 self.on_restart(key)
             elif now - peer.last_seen_at > 2 * PEER_TIMEOUT_S:
                 # The stream may be stalled while a new one would work.
                 self.peers.disconnect(key)
 
-    def create_roster(self, spokes: set[str]) -> Roster:
-        """Return the hosts that this one knows and the ages of their heartbeats.
-
-        The list itself is left out while it and the spokes are unchanged, until it is
-        due again.
-        """
-        now = time.monotonic()
-        digest = self.describe()
-        rows = [identity_fields(digest)]
-        rows += [
-            identity_fields(self.members[key].digest) for key in sorted(self.members)
-        ]
-        is_new = rows != self.roster_rows
-        is_due = now - self.full_roster_at >= FULL_ROSTER_INTERVAL_S
-        if is_new or is_due or spokes - self.roster_spokes:
-            self.roster_number += is_new
-            self.roster_rows = rows
-            self.full_roster_at = now
-        self.roster_spokes = spokes
-        ages = [0] + [
-            min(
-                MAX_AGE_UNITS,
-                math.ceil((now - self.members[key].last_seen_at) / AGE_UNIT_S),
-            )
-            for key in sorted(self.members)
-        ]
-        is_full = self.full_roster_at == now
-        return Roster(
-            self.roster_number, rows if is_full else [], bytes(ages), digest.revisions
-        )
-
     def handle_digest(self, peer: str, digest: Digest) -> None:
         """Record the digest of another host."""
         now = time.monotonic()
@@ -283,19 +300,12 @@
     def handle_roster(self, peer: str, roster: Roster) -> None:
         """Record what a hub sends about all hosts."""
         now = time.monotonic()
-        if roster.rows:
-            self.rosters[peer] = roster
-        full_roster = self.rosters.get(peer)
-        if full_roster is None or full_roster.number != roster.number:
-            # The hub sends the full list again within `FULL_ROSTER_INTERVAL_S`.
+        found = self.rosters.read(peer, roster)
+        if not found:
             return
-        for row, age in zip(full_roster.rows, roster.ages, strict=True):
-            host, instance, callers, zone, is_leaving, is_connected = row
-            if host != self.id and age < MAX_AGE_UNITS:
-                digest = Digest(
-                    host, instance, callers, zone, is_leaving, is_connected, {}
-                )
-                self.record_heartbeat(digest, now - age * AGE_UNIT_S)
+        for digest, age_s in found:
+            if digest.host != self.id:
+                self.record_heartbeat(digest, now - age_s)
         if peer in self.members:
             self.members[peer].last_message_at = now
         self.compare_revisions(peer, roster.revisions, now)
@@ -316,7 +326,7 @@
                 logger, "peer_discovered", peer=digest.host, instance=digest.instance
             )
             self.on_restart(digest.host)
-        elif at - known.last_seen_at > PEER_TIMEOUT_S:
+        elif at - known.last_seen_at > PEER_TIMEOUT_S + RELAY_DELAY_S:
             log_event(
                 logger,
                 "peer_recovered",
@@ -332,15 +342,3 @@
     def caller_addresses(self) -> list[str]:
         """Return the addresses where callers can connect to other hosts."""
         return [self.members[key].digest.callers for key in self.active_zones()]
-
-
-def identity_fields(digest: Digest) -> list[Any]:
-    """Return the fields of a digest that do not change from one to the next."""
-    return [
-        digest.host,
-        digest.instance,
-        digest.callers,
-        digest.zone,
-        digest.is_leaving,
-        digest.is_connected,
-    ]
--- a/src/filbertyard/gateway/messages.py
+++ b/src/filbertyard/gateway/messages.py
@@ -35,6 +35,7 @@
     """List the hosts that a hub knows, with the ages of their heartbeats.
 
     A row has the fields of a `Digest` except for the revisions, which are the hub's.
+    With `zone` the list has only the hosts of that availability zone.
     `rows` is empty while the list with this `number` is unchanged; `ages` has one byte
     per row, in tenths of a second, 255 for a silent host.
     """
@@ -43,6 +44,7 @@
     rows: list[list[Any]]
     ages: bytes
     revisions: dict[str, int]
+    zone: str = ""
 
 
 @message("gateway_fetch_feed")
