Reject calls at a stopping entry host once callers know other addresses

Cause: a stopping host of the product accepted calls until nothing ran there any more, or for 120 s, and closed the connections of those that ran then. Callers that keep an address kept it from leaving.

Change: after the time for which callers may keep an address it rejects calls with 503, not run, a short Retry-After and Connection: close.

--- a/src/filbertyard/callers.py
+++ b/src/filbertyard/callers.py
@@ -59,6 +59,9 @@
 # The default of the OpenAI API for completions without a token limit.
 DEFAULT_MAX_TOKENS = 16
 
+# A caller rejected by a stopping host can connect to another one at once.
+STOPPING_RETRY_AFTER_S = 0.05
+
 REASON_PHRASES = {status.value: status.phrase for status in HTTPStatus}
 
 COMPLETION_PATHS = ("/v1/completions", "/v1/chat/completions")
@@ -73,6 +76,7 @@
     """The part of an entry host that CallerApplication uses."""
 
     max_age_s: float
+    accepts_calls: bool
 
     def snapshot(self) -> Snapshot:
         """Return the settings in force."""
@@ -290,7 +294,8 @@
         """Run a call and send its response."""
         problem = self.find_rejection(call)
         if problem is not None:
-            return send_problem(start_response, problem)
+            close = [] if self.host.accepts_calls else [("Connection", "close")]
+            return send_problem(start_response, problem, close)
         replies = self.host.run(call, idempotency_key(environ))
         self.open_calls += 1
         self.open_request_ids.add(call.request_id)
@@ -319,6 +324,16 @@
 
     def find_rejection(self, call: Call) -> ProblemDetails | None:
         """Return the problem if this host cannot start a call now, else None."""
+        if not self.host.accepts_calls:
+            return ProblemDetails(
+                503,
+                "host_stopping",
+                "this host stops; ask for addresses again",
+                "not_run",
+                call.request_id,
+                "admit call",
+                retry_after_s=STOPPING_RETRY_AFTER_S,
+            )
         limit = self.max_open_calls
         if call.rank.urgency > 1:
             limit -= int(limit * URGENT_RESERVE_FRACTION)
--- a/src/filbertyard/host.py
+++ b/src/filbertyard/host.py
@@ -96,6 +96,7 @@
         self.name = settings.name
         self.instance = uuid.uuid4().hex[:12]
         self.max_age_s = settings.max_age_s
+        self.accepts_calls = True
         self.started_at = time.time()
         self.observer = Observer(create_tracing(settings.tracing, settings.name))
         self.events = self.observer.events
@@ -298,6 +299,8 @@
         )
         deadline = time.monotonic() + SHUTDOWN_TIMEOUT_S
         gevent.sleep(self.max_age_s)
+        # Callers that ask for addresses in time use other hosts by now.
+        self.accepts_calls = False
         while self.open_calls and time.monotonic() < deadline:
             gevent.sleep(0.05)
         self.owners.hand_over_all(HANDOVER_TIMEOUT_S)
