Let two hosts of a zone watch the store, at starts and in outages too

Cause: a host that starts knew no other host until their heartbeats came and watched all feeds itself; a host whose feed hubs were not connected did the same, so that in an outage every host of the fleet called the store, three feeds each, two to four times a second, and a refused renewal was repeated 2.5 times a second. These calls grow with the number of hosts, not with what they serve.

Ruled out: lease renewals in calm (one a second and host, a tenth of the rate);

Change: feed hubs are chosen among the hosts that the store answers, whose renewals tell it; while it answers none, two hosts of the zone try. A new host presumes those in the store alive and connected until their first heartbeats are due, and looks whether it watches before its first watch. A host counts on its own connection only once the others can know of it. Failed calls are repeated with exponential delays and jitter (gateway feeds up to 1 s, renewals up to 1.6 s, of owners 0.4 s as before). A host without claims does not read the owner records again when it registers.

--- a/src/filbertyard/gateway/claims.py
+++ b/src/filbertyard/gateway/claims.py
@@ -10,6 +10,7 @@
 import gevent
 from gevent.event import Event
 
+from ..backoff import Backoff
 from ..exceptions import KeyValueError
 from ..exceptions import KeyValueRejectedError
 from ..exceptions import LeaseEndedError
@@ -38,6 +39,7 @@
 # A third of the lease's time to live.
 RENEW_INTERVAL_S = 1.0
 RETRY_DELAY_S = 0.4
+MAX_RETRY_DELAY_S = 1.6
 
 # After this time without a renewal the owners' records are read again before orders
 # go on: another host may have taken over meanwhile.
@@ -89,12 +91,14 @@
         self.claimable_since: dict[str, float] = {}
         self.gone_since: dict[str, float] = {}
         self.record_changed = Event()
+        self.backoff = Backoff(RETRY_DELAY_S, MAX_RETRY_DELAY_S)
 
     def run(self) -> None:
         """Renew the host's record, forever."""
         while True:
             try:
                 self.renew()
+                self.backoff.reset()
                 delay_s = RENEW_INTERVAL_S
             except KeyValueError as error:
                 if self.is_registered:
@@ -108,7 +112,10 @@
                 self.is_registered = False
                 # The record may be gone, with or without the lease.
                 self.written_record = None
-                delay_s = RETRY_DELAY_S
+                delay_s = self.backoff.next_delay_s()
+                if self.claim_table.claims:
+                    # Orders of an owner stop if it cannot renew for long.
+                    delay_s = min(delay_s, RETRY_DELAY_S)
                 if isinstance(error, LeaseEndedError):
                     self.lease = 0
             self.record_changed.wait(timeout=delay_s)
@@ -133,7 +140,7 @@
             self.write_record(record)
         if generation != self.generation:
             self.restore_claims()
-        elif (
+        elif self.claim_table.claims and (
             not self.is_registered
             or sent_at - self.claim_table.renewed_at > MAX_RENEWAL_GAP_S
         ):
--- a/src/filbertyard/gateway/fleet.py
+++ b/src/filbertyard/gateway/fleet.py
@@ -97,6 +97,7 @@
         self.hub_zones: dict[str, str] = {}
         self.known_hubs: dict[str, str] = {}
         self.started_at = time.monotonic()
+        self.connected_since = math.inf
         peers.handle(Digest, self.handle_digest)
         peers.handle(Roster, self.handle_roster)
 
@@ -140,12 +141,44 @@
             if zone == self.zone
         }
 
+    def expected_zone_peers(self) -> dict[str, bool]:
+        """Return the hosts of this zone presumed alive, as `zone_peers` does.
+
+        Until their first heartbeats are due, a new host presumes that those in the
+        store are alive and connected. Otherwise every new host would watch the store
+        itself, and the calls at the start of a fleet grow with its size.
+        """
+        found = self.zone_peers()
+        if self.is_new():
+            for key, host in self.state.hosts.items():
+                is_presumed = key not in self.members and not host.is_leaving
+                if is_presumed and host.availability_zone == self.zone:
+                    found.setdefault(key, True)
+        found.pop(self.id, None)
+        return found
+
     def watches_store(self) -> bool:
         """Tell if this host watches the store itself."""
-        return self.describe().is_leaving or watches_store(self.id, self.zone_peers())
+        own = self.describe()
+        now = time.monotonic()
+        if not own.is_connected:
+            self.connected_since = math.inf
+        self.connected_since = min(self.connected_since, now)
+        # All hosts of the zone that connect again at the store's return would watch it
+        # if each counted on itself before the others could know.
+        is_known_connected = (
+            own.is_connected and now - self.connected_since >= HUB_TIMEOUT_S
+        )
+        return own.is_leaving or watches_store(
+            self.id, self.expected_zone_peers(), self.is_new() or is_known_connected
+        )
 
     # Recipients.
 
+    def is_new(self) -> bool:
+        """Tell if the first heartbeats of other hosts may still be missing."""
+        return time.monotonic() - self.started_at < STARTUP_DISCOVERY_S
+
     def expected_zones(self) -> dict[str, str]:
         """Return the availability zones of the hosts presumed alive, with this one.
 
@@ -153,7 +186,7 @@
         due: with fewer hosts, it would select other hubs than the rest of the fleet.
         """
         found = {**self.active_zones(), self.id: self.zone}
-        if time.monotonic() - self.started_at < STARTUP_DISCOVERY_S:
+        if self.is_new():
             for key, host in self.state.hosts.items():
                 if key not in self.members and not host.is_leaving:
                     found.setdefault(key, host.availability_zone)
@@ -233,7 +266,7 @@
 
     def push_feed_to_zone(self, push: FeedPush) -> None:
         """Send changes of a feed to the other hosts of the zone."""
-        self.send(self.zone_peers(), push)
+        self.send(self.expected_zone_peers(), push)
 
     def send(self, hosts: set[str] | dict[str, bool], message: Message) -> None:
         """Send a message without a reply; a failure shows as missing heartbeats."""
--- a/src/filbertyard/gateway/host.py
+++ b/src/filbertyard/gateway/host.py
@@ -223,10 +223,17 @@
             self.settings.callers,
             self.settings.availability_zone,
             self.is_leaving,
-            all(watcher.is_connected for watcher in self.watchers),
+            self.is_connected(),
             {prefix: feed.revision for prefix, feed in self.state.feeds.items()},
         )
 
+    def is_connected(self) -> bool:
+        """Tell if the store answers this host, also one that watches no feed."""
+        watching = [item for item in self.watchers if not item.is_suspended]
+        return self.registrar.is_registered and all(
+            watcher.is_connected for watcher in watching
+        )
+
     def release_host(self, host: str) -> None:
         """End the admitted requests of a host that is gone or has restarted."""
         for owner in self.owned.values():
--- a/src/filbertyard/gateway/hubs.py
+++ b/src/filbertyard/gateway/hubs.py
@@ -2,9 +2,9 @@
 
 Every call to the store counts, and messages from every host to every other one grow
 with the square of the fleet. Two feed hubs of each zone watch the feeds and push the
-changes to the zone; a host without a connected feed hub in its zone watches the store
-itself. In a large fleet a few hubs of each zone receive digests and loads for their
-zone and send them on together.
+changes to the zone; they are chosen among the hosts that the store answers. In a large
+fleet a few hubs of each zone receive digests and loads for their zone and send them on
+together.
 """
 
 from __future__ import annotations
@@ -38,14 +38,16 @@
     return rendezvous_order("relay", hosts)[:FEED_HUBS_PER_ZONE]
 
 
-def watches_store(host: str, others: Mapping[str, bool]) -> bool:
+def watches_store(host: str, others: Mapping[str, bool], is_connected: bool) -> bool:
     """Tell if a host watches the store itself.
 
-    `others` are the live hosts of its zone; the value tells if they are connected to
-    the store.
+    `others` are the live hosts of its zone; the value tells if the store answers them,
+    `is_connected` if it answers this host. While it answers none of them, two hosts
+    try for all: an outage is not met by the calls of the whole fleet.
     """
-    chosen = select_feed_hubs({**others, host: True})
-    return host in chosen or not any(others[feed_hub] for feed_hub in chosen)
+    hosts = {**others, host: is_connected}
+    connected = [key for key, is_answered in hosts.items() if is_answered]
+    return host in select_feed_hubs(connected or hosts)
 
 
 def select_hubs(hosts: Iterable[str]) -> list[str]:
--- a/src/filbertyard/gateway/sync.py
+++ b/src/filbertyard/gateway/sync.py
@@ -4,7 +4,6 @@
 
 import logging
 import math
-import random
 import time
 from collections.abc import Callable
 from typing import Any
@@ -12,6 +11,7 @@
 import gevent
 from result import Err
 
+from ..backoff import Backoff
 from ..exceptions import FilbertyardError
 from ..exceptions import RevisionCompactedError
 from ..keyvalue import Item
@@ -43,8 +43,10 @@
 OPERATOR_FEED_INTERVAL_S = 0.05
 GATEWAY_FEED_INTERVAL_S = 0.2
 
-# Delay after a failed call to the store, with as much again at random.
-RETRY_DELAY_S = 0.25
+# Delays after failed calls to the store. The longest is short against the time in which
+# a change is to be in force after the store's return.
+MIN_RETRY_DELAY_S = 0.25
+MAX_RETRY_DELAY_S = 1.0
 
 # Interval between checks whether this host must watch the store itself.
 SUSPENDED_CHECK_INTERVAL_S = 0.2
@@ -79,6 +81,7 @@
         self.answered_at = -math.inf
         self.has_snapshot = False
         self.is_suspended = False
+        self.backoff = Backoff(MIN_RETRY_DELAY_S, MAX_RETRY_DELAY_S)
 
     def run(self) -> None:
         """Watch the feed while this host should, forever."""
@@ -96,7 +99,7 @@
                 )
             except FilbertyardError as error:
                 self.record_lost(error)
-                gevent.sleep(RETRY_DELAY_S * (1 + random.random()))
+                gevent.sleep(self.backoff.next_delay_s())
 
     def watch_feed(self) -> None:
         """Read the whole feed, then watch its changes; raise KeyValueError."""
@@ -111,6 +114,8 @@
             is_after_outage=is_after_outage,
         )
         self.has_snapshot = True
+        if not self.should_watch():
+            return
         changes = self.store.watch(self.feed.prefix, found.revision + 1, self.wait_s)
         for events in changes:
             self.record_connected()
@@ -148,6 +153,7 @@
     def record_connected(self) -> None:
         """Record that the store answered."""
         self.answered_at = time.monotonic()
+        self.backoff.reset()
         if not self.is_connected:
             self.is_connected = True
             log_event(logger, "feed_connected", feed=self.feed.prefix)
