--- a/src/filbertyard/gateway/claims.py
+++ b/src/filbertyard/gateway/claims.py
@@ -19,7 +19,6 @@
 from ..keyvalue import Item
 from ..keyvalue import KeyValue
 from ..keyvalue import Put
-from ..keyvalue import Write
 from ..keyvalue import local_revision
 from ..logs import log_event
 from .claimtable import HOST_LEASE_S
@@ -365,8 +364,11 @@
         for replica, claim in claims.items():
             key = OWNER_PREFIX + replica
             try:
-                self.store.txn([Compare(key, claim.fence)], [Put(key, encode(value))])
-                log_event(logger, "claim_released", replica=replica)
+                result = self.store.txn(
+                    [Compare(key, claim.fence)], [Put(key, encode(value))]
+                )
+                event = "claim_released" if result.succeeded else "claim_lost"
+                log_event(logger, event, replica=replica)
             except KeyValueError as error:
                 # The successor then waits as for a lost host.
                 log_event(
@@ -374,27 +376,45 @@
                 )
                 return
 
-    def delete_gone_records(self) -> None:
-        """Delete the records of replicas that are long gone; raise KeyValueError."""
-        now = time.monotonic()
+    def gone_replicas(self, now: float) -> list[str]:
+        """Return the owned replicas that have been gone for long."""
         replicas = self.engine_replicas()
-        writes: list[Write] = []
-        compares: list[Compare] = []
-        for replica, claim in list(self.claim_table.claims.items()):
-            if replica in replicas:
-                self.gone_since.pop(replica, None)
-                continue
-            if (
-                now - self.gone_since.setdefault(replica, now)
-                < GONE_REPLICA_RETENTION_S
-            ):
+        for replica in replicas:
+            self.gone_since.pop(replica, None)
+        return [
+            replica
+            for replica in self.claim_table.claims
+            if replica not in replicas
+            and now - self.gone_since.setdefault(replica, now)
+            >= GONE_REPLICA_RETENTION_S
+        ]
+
+    def delete_gone_records(self) -> None:
+        """Delete some records of replicas that are long gone; raise KeyValueError.
+
+        Claims of records that another host changed are dropped, so that the next call
+        deletes the others.
+        """
+        claims = self.claim_table.claims
+        fences = {
+            OWNER_PREFIX + replica: claims[replica].fence
+            for replica in self.gone_replicas(time.monotonic())[:MAX_TXN_WRITES]
+        }
+        if not fences:
+            return
+        result = self.store.txn(
+            [Compare(key, fence) for key, fence in fences.items()],
+            [Delete(key) for key in fences],
+        )
+        found = {item.key: item.mod_revision for item in result.items}
+        for key, fence in fences.items():
+            if not result.succeeded and found.get(key) == fence:
                 continue
+            replica = key.removeprefix(OWNER_PREFIX)
+            del claims[replica]
             del self.gone_since[replica]
-            del self.claim_table.claims[replica]
-            writes.append(Delete(OWNER_PREFIX + replica))
-            compares.append(Compare(OWNER_PREFIX + replica, claim.fence))
-        if writes:
-            self.store.txn(compares[:MAX_TXN_WRITES], writes[:MAX_TXN_WRITES])
+            event = "owner_record_deleted" if result.succeeded else "claim_lost"
+            log_event(logger, event, replica=replica)
 
 
 def is_record_of(item: Item, claim: Claim, host: HostRecord) -> bool:
