Serve requests that come with the start of a host

Cause: after the loss of all hosts each new process rejected what came before it had read the list of replicas (a tenth of a second), and for a second everything for an adapter that no engine holds: it did not believe that any owner lives before the first heartbeats, although the store lists their processes.

Ruled out: waiting for the start of the process itself (0.5 s of processor time, a second on a machine with half a core).

Change: a request waits up to 0.5 s until routes and replicas are known, and on a new host up to 1 s for the loads that owners publish. A new host presumes that a process that the store lists lives, if the owner record names the same process.

Before: test_a_request_that_comes_with_the_start_of_a_host_is_served fails with 503; after: it passes.

--- a/src/filbertyard/gateway/entry.py
+++ b/src/filbertyard/gateway/entry.py
@@ -75,6 +75,16 @@
 # A host that has just started reads the configuration within this time.
 UNCONFIGURED_RETRY_AFTER_S = 1.0
 
+# A request waits for this long until a host that has just started knows its routes.
+# The first readings of the store take a tenth of it.
+MAX_START_WAIT_S = 0.5
+
+# A request for an absent adapter waits this long until a new host has heard of owners.
+MAX_LOADS_WAIT_S = 1.0
+
+# Interval between these checks.
+START_POLL_S = 0.02
+
 # A caller rejected by a stopping host can connect to another one at once.
 STOPPING_RETRY_AFTER_S = 0.05
 
@@ -124,6 +134,9 @@
     def live_hosts(self) -> int:
         """Return how many hosts share the retry budget."""
 
+    def is_new(self) -> bool:
+        """Tell if what other hosts publish may still be missing."""
+
 
 class EntryApplication:
     """WSGI application for callers."""
@@ -244,6 +257,7 @@
         self, request: GatewayRequest, handler: Any, start_response: Callable[..., Any]
     ) -> list[bytes]:
         """Route a request and deliver its response."""
+        self.await_start(request.arrived)
         configuration = self.state.configuration
         if not self.accepts_requests:
             return self.reject_unrouted(
@@ -282,6 +296,17 @@
                     self.guard.end_probe(delivery)
             return self.call_plain(delivery, service)
 
+    def await_start(self, arrived: float) -> None:
+        """Wait shortly until a host that has just started knows routes and replicas."""
+        end = arrived + MAX_START_WAIT_S
+        while not self.state.is_complete() and time.monotonic() < end:
+            gevent.sleep(START_POLL_S)
+
+    def may_await_loads(self, arrived: float) -> bool:
+        """Tell if owners may yet publish to this new host where an adapter can go."""
+        is_waiting = time.monotonic() < arrived + MAX_LOADS_WAIT_S
+        return is_waiting and self.owners.is_new()
+
     def choose_service(self, route: Route) -> str:
         """Return one service of a route by weight."""
         if len(route.services) == 1:
@@ -313,6 +338,9 @@
                 if not excluded[candidate.replica]
             ]
             candidate = choose_replica(str(name), found, request.id)
+            if candidate is None and found and self.may_await_loads(request.arrived):
+                gevent.sleep(START_POLL_S)
+                continue
             if candidate is None or delivery.admission_attempts >= MAX_OWNERS_ASKED:
                 break
             delivery.admission_attempts += 1
--- a/src/filbertyard/gateway/fleet.py
+++ b/src/filbertyard/gateway/fleet.py
@@ -120,6 +120,22 @@
             if now - peer.last_seen_at < self.timeout_s(peer, is_large)
         }
 
+    def is_expected(self, host: str, instance: str) -> bool:
+        """Tell if a process of another host is live, as far as this one can know.
+
+        Until the first heartbeats are due, a new host presumes this of the processes
+        that are registered in the store.
+        """
+        if host in self.members:
+            return host in self.reachable()
+        record = self.state.hosts.get(host)
+        return (
+            self.is_new()
+            and record is not None
+            and record.instance == instance
+            and not record.is_leaving
+        )
+
     def timeout_s(self, peer: PeerHost, is_large: bool) -> float:
         """Return after how long without a heartbeat a host is left out."""
         is_relayed = is_large and peer.digest.zone != self.zone
--- a/src/filbertyard/gateway/host.py
+++ b/src/filbertyard/gateway/host.py
@@ -243,6 +243,10 @@
         """Return how many hosts share the retry budget."""
         return 1 + max(len(self.fleet.reachable()), len(self.state.hosts) - 1, 0)
 
+    def is_new(self) -> bool:
+        """Tell if what other hosts publish may still be missing."""
+        return self.fleet.is_new()
+
     def caller_addresses(self, zone: str) -> list[str]:
         """Return the addresses where callers of a zone should connect, at least one."""
         found = self.fleet.caller_addresses()
@@ -321,7 +325,11 @@
             return local_owner.admit(message, self.id)
         record = self.state.owners.get(message.replica)
         owner = record.host if record is not None else ""
-        if record is None or owner == self.id or owner not in self.fleet.reachable():
+        if (
+            record is None
+            or owner == self.id
+            or not self.fleet.is_expected(owner, record.instance)
+        ):
             log_event(
                 logger,
                 "owner_unknown",
--- a/src/filbertyard/gateway/state.py
+++ b/src/filbertyard/gateway/state.py
@@ -117,6 +117,10 @@
         self.rejections = DocumentRejections()
         self.stored_rejections: dict[str, frozenset[str]] = {}
 
+    def is_complete(self) -> bool:
+        """Tell if routes and replicas are known."""
+        return self.configuration is not None and self.replica_feed.has_snapshot
+
     def feed_list(self) -> list[Feed]:
         """Return the feeds."""
         return [self.operator_feed, self.replica_feed, self.gateway_feed]
--- a/tests/test_gateway_fleet.py
+++ b/tests/test_gateway_fleet.py
@@ -191,6 +191,19 @@
     assert simulation.network.sent < 70 * 69 * 2 / 4
 
 
+def test_a_new_host_presumes_that_registered_processes_live(clock: Clock) -> None:
+    """Guards against owners that a new host asks only a second after its start."""
+    simulation = FleetSimulation(79, clock)
+    fleet = simulation.hosts[0].fleet
+    assert fleet.is_expected("h05", "1")
+    assert not fleet.is_expected("h05", "2")
+    assert not fleet.is_expected("unknown", "1")
+    simulation.network.dead = {"h05"}
+    simulation.run(3.0)
+    assert not fleet.is_expected("h05", "1")
+    assert fleet.is_expected("h06", "1")
+
+
 def test_a_restart_is_detected_once_by_every_host(clock: Clock) -> None:
     simulation = FleetSimulation(79, clock)
     simulation.run(6.0)
--- a/tests/test_gateway_path.py
+++ b/tests/test_gateway_path.py
@@ -498,6 +498,26 @@
     leaving.get(timeout=20)
 
 
+def test_a_request_that_comes_with_the_start_of_a_host_is_served(
+    serving: GatewayFleet,
+) -> None:
+    """Guards against refusals by hosts that know routes and replicas a moment later."""
+    for kind in ("/stock/a", "/order/a"):
+        host = serving.start_host()
+        assert serving.send(kind, host=host).status == 200
+    host = serving.start_host()
+    assert serving.text("a7", host=host).status == 200
+
+
+def test_a_host_without_a_store_rejects_requests_soon(serving: GatewayFleet) -> None:
+    serving.store.faults.unavailable = True
+    host = serving.start_host()
+    host.fleet.seeds = ()
+    reply = serving.send("/stock/a", host=host, limit_s=5.0)
+    assert reply.status in (200, 503)
+    assert reply.is_complete
+
+
 def test_addresses_name_live_hosts(fleet: GatewayFleet) -> None:
     expected = {host.settings.callers for host in fleet.hosts}
     wait_until(
