--- a/src/filbertyard/gateway/entry.py
+++ b/src/filbertyard/gateway/entry.py
@@ -169,6 +169,7 @@
         )
         self.open_requests = 0
         self.grace: GracePeriod | None = None
+        self.admits_requests = True
         self.run_times = RunTimes()
         self.awaiting_body: set[Any] = set()
         self.awaiting_admission: dict[Any, Delivery] = {}
@@ -217,11 +218,6 @@
         """Tell if requests that arrive now are served."""
         return self.grace is None or time.monotonic() < self.grace.accept_until
 
-    @property
-    def admits_requests(self) -> bool:
-        """Tell if requests may still wait for a replica."""
-        return self.grace is None or time.monotonic() < self.grace.reject_at
-
     @contextmanager
     def reading(self) -> Iterator[None]:
         """Let `stop_admission` end the reading of a body within this context."""
@@ -493,6 +489,7 @@
 
     def stop_admission(self) -> None:
         """Reject what still waits or arrives, before this host exits."""
+        self.admits_requests = False
         self.withdraw(
             HOST_STOPPING, [*self.awaiting_admission, *list(self.awaiting_body)]
         )
@@ -508,6 +505,8 @@
 
         It is negative if the request would not end before this host exits.
         """
+        if not self.admits_requests:
+            return -math.inf
         run_s = self.run_times.expected_s(delivery.service, delivery.size())
         return admission_limit_s(self.grace, run_s, wait_s, time.monotonic())
 
