Record the connection to the store apart from asking who watches it

watches_store changed what it reads: since when the store answers this host. The heartbeat task records it now; what is decided is the same, up to half a second later. Tests of feed hubs, heartbeats, store calls and stops pass.

--- a/src/filbertyard/gateway/entry.py
+++ b/src/filbertyard/gateway/entry.py
@@ -490,9 +490,7 @@
     def stop_admission(self) -> None:
         """Reject what still waits or arrives, before this host exits."""
         self.admits_requests = False
-        self.withdraw(
-            HOST_STOPPING, [*self.awaiting_admission, *list(self.awaiting_body)]
-        )
+        self.withdraw(HOST_STOPPING, [*self.awaiting_admission, *self.awaiting_body])
 
     def withdraw_late(self) -> None:
         """Reject the waiting requests that would end after this host's exit."""
--- a/src/filbertyard/gateway/fleet.py
+++ b/src/filbertyard/gateway/fleet.py
@@ -176,19 +176,20 @@
     def watches_store(self) -> bool:
         """Tell if this host watches the store itself."""
         own = self.describe()
-        now = time.monotonic()
-        if not own.is_connected:
-            self.connected_since = math.inf
-        self.connected_since = min(self.connected_since, now)
         # All hosts of the zone that connect again at the store's return would watch it
         # if each counted on itself before the others could know.
-        is_known_connected = (
-            own.is_connected and now - self.connected_since >= HUB_TIMEOUT_S
-        )
+        connected_s = time.monotonic() - self.connected_since
+        is_known_connected = own.is_connected and connected_s >= HUB_TIMEOUT_S
         return own.is_leaving or watches_store(
             self.id, self.expected_zone_peers(), self.is_new() or is_known_connected
         )
 
+    def update_connection(self) -> None:
+        """Record since when the store has been answering this host."""
+        is_connected = self.describe().is_connected
+        since = min(self.connected_since, time.monotonic())
+        self.connected_since = since if is_connected else math.inf
+
     # Recipients.
 
     def is_new(self) -> bool:
@@ -294,6 +295,7 @@
     def run(self) -> None:
         """Send heartbeats to the other hosts, forever."""
         while True:
+            self.update_connection()
             self.send_heartbeats()
             self.drop_silent_hosts()
             self.state.drop_expired_replicas(time.monotonic())
