Let another writer leave odd entries in the soak

Entries that no host can use are written under five prefixes at random times, from a random sequence of their own, so that the seeds keep the faults that they stand for.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -53,6 +53,24 @@
 # Share of the runs in which the store loses writes, and then of further losses.
 LOSS_SHARE = 0.5
 
+# Entries of another writer that no host can use, and where it leaves them.
+ODD_ENTRY_PREFIXES = (
+    "servers/",
+    "op/version/",
+    "filbertyard/hosts/",
+    "filbertyard/owners/",
+    "filbertyard/prompts/",
+)
+ODD_VALUES = (
+    b"[" * 50_000 + b"]" * 50_000,
+    b'{"service": "desk", "address": "127.0.0.1:99999", "state": "ready"}',
+    b'{"service": "desk", "address": "127.0.0.1:9", "state": "ready", "slots": 1e999}',
+    b'{"born": ' + b"9" * 5000 + b"}",
+    b'{"zone": "\\ud800"}',
+    b"\xff\xfe",
+    b"",
+)
+
 # A replica may get this many times its rate limit within a window, and some more.
 RATE_WINDOW_S = 4.0
 RATE_FACTOR = 1.5
@@ -435,6 +453,14 @@
             gevent.sleep(rng.uniform(0.5, 5.0))
             self.lose_writes(saved, rng)
 
+    def run_odd_entries(self, rng: random.Random) -> None:
+        """Write entries that cannot be used, as another writer might, forever."""
+        while True:
+            gevent.sleep(rng.uniform(0.2, 2.0))
+            prefix = rng.choice(ODD_ENTRY_PREFIXES)
+            key = f"{prefix}odd-{rng.randrange(5)}"
+            self.store.write(key, rng.choice(ODD_VALUES))
+
     def run(self, faults: int) -> None:
         """Inject faults, which may overlap, then end them and wait for recovery."""
         rng = random.Random(self.seed)
@@ -445,14 +471,15 @@
         # Faults of their own: the seeds of CI keep the sequences that they stand for.
         limits = gevent.spawn(self.run_limits, random.Random(f"{self.seed}/limits"))
         losses = gevent.spawn(self.run_losses, random.Random(f"{self.seed}/losses"))
+        odd = gevent.spawn(self.run_odd_entries, random.Random(f"{self.seed}/odd"))
         for _ in range(faults):
             name = rng.choice(sorted(FAULTS))
             self.injected_faults.append(name)
             FAULTS[name](self, rng)
             gevent.sleep(rng.uniform(0.2, 2.0))
         gevent.sleep(STABLE_S)
-        limits.kill()
-        losses.kill()
+        assert not odd.dead
+        gevent.killall([limits, losses, odd])
         self.end_restarts()
         self.end_faults()
         wait_until(lambda: self.send("desk", 0).status == 200, RECOVERY_TIMEOUT_S)
