Reject a request whose time in the grace period runs out before its admission

Its trace: the request was judged to end in time, and when the wait for its replica was worked out, the time had just run out; the negative limit went on as a timeout and raised ValueError.

Change: such a request is rejected, not run; the wait for a permit is never negative.

--- a/src/filbertyard/gateway/entry.py
+++ b/src/filbertyard/gateway/entry.py
@@ -451,6 +451,12 @@
         request = delivery.request
         now = time.monotonic()
         left_s = self.wait_limit_s(delivery, delivery.event_timeout_left_s())
+        if left_s < 0:
+            # The time has run out since the last check.
+            cause = "deadline" if self.grace is None else HOST_STOPPING
+            return AdmissionRejected(
+                delivery.admission_id(), cause, STOPPING_RETRY_AFTER_S
+            )
         message = AdmissionRequest(
             request_id=delivery.admission_id(),
             replica=candidate.replica,
@@ -647,7 +653,8 @@
             return others[0] if others else None
         delivery.admission_attempts += 1
         may_wait = self.admits_requests and not others
-        wait_s = self.wait_limit_s(delivery, delivery.left_s()) if may_wait else 0.0
+        limit_s = self.wait_limit_s(delivery, delivery.left_s()) if may_wait else 0.0
+        wait_s = max(0.0, limit_s)
         with self.awaiting(delivery):
             try:
                 permit = self.limiter.request_permit(delivery, limited, wait_s)
--- a/tests/test_gateway_grace.py
+++ b/tests/test_gateway_grace.py
@@ -1,5 +1,6 @@
 """Requests at each moment of a host's grace period: whole, or truly not run."""
 
+import math
 from collections.abc import Iterator
 from dataclasses import dataclass
 from dataclasses import field
@@ -255,3 +256,27 @@
         gevent.joinall(stops, timeout=30)
     finally:
         fleet.stop()
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_a_request_whose_time_runs_out_before_it_is_admitted_is_rejected(
+    fleet: GatewayFleet, kind: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against an error between the check and the wait for a replica."""
+    host = fleet.hosts[0]
+    other = fleet.hosts[1].id
+    engine = fleet.replicas[0].id
+    record = host.state.owners[engine]
+    host.owned.pop(engine, None)
+    monkeypatch.setitem(host.state.owners, engine, replace(record, host=other))
+    fleet.replicas[1].faults.rate_limit = "0.1"
+    assert Caller(fleet, host).ask("stock").status == 200
+    limits = iter([0.0])
+    monkeypatch.setattr(
+        host.entry, "wait_limit_s", lambda delivery, wait_s: next(limits, -math.inf)
+    )
+    caller = Caller(fleet, host)
+    reply = caller.ask(kind)
+    assert reply is not None
+    assert reply.status == 503
+    check_reply(fleet, caller, reply)
