Show a stream without end that stops a whole gateway process

Rule CONFIG: of the requests that are still unanswered at their route's timeoutMs, more than half have no answer half a second later.

Order of events: an engine answers one stream with events without end, faster than the gateway parses them. The loop that relays them never waits, so that no other greenlet of the process runs until the stream's timeout: requests to sound replicas and readiness checks stay without an answer for 15 s.

--- a/review/harness.py
+++ b/review/harness.py
@@ -121,6 +121,21 @@
     return data[:size], data[size:]
 
 
+LAST_CHUNK = b"0\r\n\r\n"
+
+
+def drop_stream(sock: Any, rest: bytes) -> None:
+    """Read a chunked stream to its end and drop it, also one without end."""
+    tail = rest[-len(LAST_CHUNK) :]
+    while tail != LAST_CHUNK:
+        part = sock.recv(65536)
+        if not part:
+            raise ConnectionResetError("stream cut short")
+        tail = (tail + part)[-len(LAST_CHUNK) :]
+        # The other greenlets of this process have their turn.
+        gevent.sleep(0)
+
+
 def read_chunks(sock: Any, rest: bytes) -> bytes:
     """Read a chunked body."""
     body, data = b"", rest
@@ -169,6 +184,7 @@
     wait_s: float,
     body: bytes = b"{}",
     headers: dict[str, str] | None = None,
+    keep_body: bool = True,
 ) -> Call:
     """Send one request on a new connection and wait for its answer at most `wait_s`."""
     ip, _, port = address.rpartition(":")
@@ -196,7 +212,10 @@
             call.headers = head.headers
             call.signature = head.headers.get("response-signature", "")
             if head.headers.get("transfer-encoding", "").lower() == "chunked":
-                call.body = read_chunks(sock, head.rest)
+                if keep_body:
+                    call.body = read_chunks(sock, head.rest)
+                else:
+                    drop_stream(sock, head.rest)
             elif "content-length" in head.headers:
                 size = int(head.headers["content-length"])
                 call.body, _ = read_length(sock, size, head.rest)
@@ -235,6 +254,8 @@
     way is `answer_spoiled(sock, head)`.
     """
 
+    service = PLAIN_SERVICE
+
     def __init__(
         self,
         name: str,
@@ -270,7 +291,7 @@
     def entry(self) -> dict[str, Any]:
         """Return the replica's entry for itself."""
         return {
-            "service": PLAIN_SERVICE,
+            "service": self.service,
             "address": self.address,
             "zone": self.zone,
             "version": "v1",
@@ -349,6 +370,79 @@
             sock.close()
 
 
+class EngineReplica(PlainReplica):
+    """A model engine that holds one base model and streams a few events.
+
+    It takes requests for the base model only and is given no adapters to load.
+    """
+
+    service = ENGINE_SERVICE
+    events = 8
+    event_s = 0.03
+
+    def entry(self) -> dict[str, Any]:
+        """Return the engine's entry with the model that it holds."""
+        return {**super().entry(), "stage": "unified", "models": self.models()}
+
+    def models(self) -> list[dict[str, Any]]:
+        """Return the resident models."""
+        return [{"name": MODEL, "version": 1, "adapters": []}]
+
+    def answer(self, sock: Any, head: Head) -> bool:
+        """Answer a report, refuse orders, stream the answer to a request."""
+        path = head.first_line.split()[1]
+        request_id = head.headers.get("request-id", "")
+        if head.headers.get("target-instance", self.name) != self.name:
+            return super().answer(sock, head)
+        if path == "/api/report":
+            report = {
+                "stage": "unified",
+                "models": self.models(),
+                "busy": False,
+                "sequence": 0,
+                "queued": 0,
+                "running": self.running,
+                "kvUsed": 0,
+                "kvTotal": 100000,
+                "handles": 0,
+                "born": self.born,
+            }
+            lines = ["HTTP/1.1 200 OK", "Content-Type: application/json"]
+            send_message(sock, lines, json.dumps(report).encode())
+            return True
+        if path == "/api/order":
+            send_message(sock, ["HTTP/1.1 400 Bad Request"], b"")
+            return True
+        if self.spoil(head):
+            self.answer_spoiled(sock, head)
+            return False
+        self.running += 1
+        self.runs.append(Run(request_id, time.monotonic()))
+        self.record.write("run", replica=self.name, id=request_id)
+        try:
+            lines = ["HTTP/1.1 200 OK", f"Request-Id: {request_id}"]
+            lines += [f"Response-Signature: {self.name}.{len(self.runs)}"]
+            lines += ["Content-Type: text/event-stream", "Transfer-Encoding: chunked"]
+            sock.sendall("\r\n".join([*lines, "", ""]).encode())
+            for number in range(1, self.events + 1):
+                gevent.sleep(self.event_s)
+                sock.sendall(encode_chunk(encode_event(number)))
+            sock.sendall(b"0\r\n\r\n")
+        finally:
+            self.running -= 1
+        return True
+
+
+def encode_event(number: int) -> bytes:
+    """Return one event of a stream, of 45 bytes or a few more."""
+    return f"id: {number}\ndata: {'debris on the rack ' * 2}\n\n".encode()
+
+
+def encode_chunk(data: bytes) -> bytes:
+    """Return one chunk of a chunked body."""
+    return f"{len(data):x}\r\n".encode() + data + b"\r\n"
+
+
 def send_message(sock: Any, lines: list[str], body: bytes) -> None:
     """Send a message with a length."""
     lines = [*lines, f"Content-Length: {len(body)}", "", ""]
@@ -624,6 +718,52 @@
     }
 
 
+def stream_route(name: str, prefix: str, **more: Any) -> dict[str, Any]:
+    """Return a streaming route to the engines."""
+    return plain_route(
+        name,
+        prefix,
+        "streaming",
+        **{
+            "service": ENGINE_SERVICE,
+            "timeoutMs": 15000,
+            "targetLatencyMs": 1000,
+            "priority": 1,
+            "gapTargetMs": 300,
+            "sticky": True,
+            **more,
+        },
+    )
+
+
+def engine_service() -> dict[str, Any]:
+    """Return the engine service of the configuration, as on the sheet."""
+    return {
+        "name": ENGINE_SERVICE,
+        "healthPath": "/health",
+        "maxConnections": 370,
+        "protocol": "h1",
+        "tls": False,
+        "engine": {
+            "slots": 64,
+            "kvCapacityTokens": 122748,
+            "stride": 3,
+            "models": [
+                {
+                    "name": MODEL,
+                    "weightsMb": 16100,
+                    "loadS": 1.3,
+                    "adapters": 3000,
+                    "adapterMb": 14.0,
+                }
+            ],
+            "weightsMb": 16700,
+            "adapterSlots": 18,
+            "loadsPerS": 4.2,
+        },
+    }
+
+
 def plain_service() -> dict[str, Any]:
     """Return the plain service of the configuration."""
     return {
