Show orders to load more adapters than an engine's memory holds

Rule LIMIT: a replica is ordered to load more than weightsMb holds.

Order of events: a burst asks for rare adapters, one after the other, on engines whose memory runs out before their places for adapters. The owners count places only and order one adapter too many; the engine crashes with its streams.

--- a/review/harness.py
+++ b/review/harness.py
@@ -323,8 +323,8 @@
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             while (head := read_head(sock, rest)) is not None:
                 size = int(head.headers.get("content-length", "0"))
-                _, rest = read_length(sock, size, head.rest)
-                if not self.answer(sock, head):
+                body, rest = read_length(sock, size, head.rest)
+                if not self.handle(sock, head, body):
                     return
         except OSError:
             return
@@ -332,6 +332,10 @@
             self.sockets.discard(sock)
             sock.close()
 
+    def handle(self, sock: Any, head: Head, body: bytes) -> bool:
+        """Answer one message; tell if the connection stays open."""
+        return self.answer(sock, head)
+
     def answer(self, sock: Any, head: Head) -> bool:
         """Answer one request; tell if the connection stays open."""
         request_id = head.headers.get("request-id", "")
