Show two hosts that order to one engine after a drill of the store

Order of events: a host is stopped and its successor claims its engines. The store comes back from a copy from before that claim, and the stopped host starts: it finds its own earlier records and orders at once, while the successor goes on and then writes over the new claim.

--- a/review/harness.py
+++ b/review/harness.py
@@ -437,6 +437,134 @@
         return True
 
 
+class AdapterEngine(EngineReplica):
+    """An engine that carries out orders and crashes if they exceed its memory.
+
+    `seen` holds each order with its time of arrival; reports are `report_lag_s` old.
+    """
+
+    weights_mb = 16700.0
+    model_mb = 16100.0
+    adapter_mb = 14.0
+    adapter_slots = 18
+    load_s = 0.25
+    report_lag_s = 0.1
+
+    def __init__(self, *args: Any, **options: Any) -> None:
+        self.sequence = 0
+        self.seen: list[tuple[float, dict[str, Any]]] = []
+        self.adapters: dict[str, float] = {}
+        self.pending: dict[str, float] = {}
+        self.using: dict[str, int] = {}
+        self.unloading: set[str] = set()
+        self.last_reports: list[tuple[float, bytes]] = []
+        self.exceeded = ""
+        self.cut = 0
+        super().__init__(*args, **options)
+
+    def models(self) -> list[dict[str, Any]]:
+        """Return the resident model with its adapters."""
+        names = [f"{name}@1" for name in self.adapters]
+        return [{"name": MODEL, "version": 1, "adapters": names}]
+
+    def answer(self, sock: Any, head: Head) -> bool:
+        """Answer a report or an order, or stream if the adapter is resident."""
+        if head.headers.get("target-instance", self.name) != self.name:
+            return super().answer(sock, head)
+        path = head.first_line.split()[1]
+        if path == "/api/report":
+            lines = ["HTTP/1.1 200 OK", "Content-Type: application/json"]
+            send_message(sock, lines, self.report())
+            return True
+        adapter = head.headers.get("model", "").partition("/")[2]
+        if adapter not in self.adapters or adapter in self.unloading:
+            lines = ["HTTP/1.1 421 Misdirected Request", f"Instance-Id: {self.name}"]
+            request_id = head.headers.get("request-id", "")
+            send_message(sock, [*lines, f"Request-Id: {request_id}"], b"")
+            return True
+        self.using[adapter] = self.using.get(adapter, 0) + 1
+        try:
+            return super().answer(sock, head)
+        finally:
+            self.using[adapter] -= 1
+            if adapter in self.unloading and not self.using[adapter]:
+                self.unloading.discard(adapter)
+                self.adapters.pop(adapter, None)
+
+    def report(self) -> bytes:
+        """Return the engine's state as of a moment ago."""
+        now = time.monotonic()
+        value = {
+            "stage": "unified",
+            "models": self.models(),
+            "busy": False,
+            "sequence": self.sequence,
+            "pending": [f"{MODEL}/{name}@1" for name in self.pending],
+            "queued": 0,
+            "running": self.running,
+            "kvUsed": 0,
+            "kvTotal": 122748,
+            "handles": 0,
+            "born": self.born,
+        }
+        self.last_reports.append((now, json.dumps(value).encode()))
+        while len(self.last_reports) > 1 and (
+            now - self.last_reports[1][0] >= self.report_lag_s
+        ):
+            del self.last_reports[0]
+        return self.last_reports[0][1]
+
+    def serve_order(self, order: dict[str, Any]) -> int:
+        """Carry out an order; return its status."""
+        self.seen.append((time.monotonic(), order))
+        name = order.get("adapter", "")
+        if "holder" not in order or "fence" not in order or not name:
+            return 400
+        if order.get("expected", self.sequence) != self.sequence or self.unloading:
+            return 409
+        if order["operation"] == "unload":
+            self.sequence += 1
+            if self.using.get(name):
+                self.unloading.add(name)
+                return 202
+            self.adapters.pop(name, None)
+            return 200
+        if name in self.adapters:
+            return 200
+        if len(self.pending) >= 4:
+            return 409
+        self.sequence += 1
+        held = len(self.adapters) + len(self.pending) + 1
+        used_mb = self.model_mb + held * self.adapter_mb
+        self.record.write(
+            "load", replica=self.name, adapter=name, held=held, used_mb=used_mb
+        )
+        if used_mb > self.weights_mb or held > self.adapter_slots:
+            self.exceeded = f"{held} adapters, {used_mb:g} MB of {self.weights_mb:g} MB"
+            self.cut = self.running
+            self.record.write("crash", replica=self.name, running=self.running)
+            gevent.spawn(self.stop)
+            return 0
+        self.pending[name] = time.monotonic()
+        gevent.spawn_later(self.load_s, self.finish_load, name)
+        return 202
+
+    def finish_load(self, name: str) -> None:
+        """Make a loaded adapter resident."""
+        self.adapters[name] = self.pending.pop(name)
+
+    def handle(self, sock: Any, head: Head, body: bytes) -> bool:
+        """Carry out an order, or answer any other message."""
+        is_own = head.headers.get("target-instance", self.name) == self.name
+        if not is_own or head.first_line.split()[1] != "/api/order":
+            return self.answer(sock, head)
+        status = self.serve_order(json.loads(body))
+        if not status:
+            return False
+        send_message(sock, [f"HTTP/1.1 {status} Order"], b"{}")
+        return True
+
+
 def encode_event(number: int) -> bytes:
     """Return one event of a stream, of 45 bytes or a few more."""
     return f"id: {number}\ndata: {'debris on the rack ' * 2}\n\n".encode()
