--- a/review/1/case.py
+++ b/review/1/case.py
@@ -153,7 +153,9 @@
     gevent.joinall(tasks, timeout=STREAM_DEADLINE_MS / 1000 + 1.0)
     signed = [item for item in results if item[0]]
     cut = [len(ids) for _, ids, _ in signed if len(ids) < EVENTS]
-    forged = [len(ids) for _, ids, end in signed if len(ids) < EVENTS and end == "complete"]
+    forged = [
+        len(ids) for _, ids, end in signed if len(ids) < EVENTS and end == "complete"
+    ]
     whole = sum(len(ids) == EVENTS for _, ids, _ in signed)
     fleet.record.say(
         f"{len(signed)} streams with a signature, {whole} whole ({EVENTS} events); "
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -69,7 +69,10 @@
     except OSError:
         took_s = time.monotonic() - began
         fleet.record.write(
-            "closed", id=request_id, after_s=f"{took_s:.2f}", sent_mb=f"{sent / 1e6:.1f}"
+            "closed",
+            id=request_id,
+            after_s=f"{took_s:.2f}",
+            sent_mb=f"{sent / 1e6:.1f}",
         )
 
 
