Identify the workspace of a request by its API key

Cause: the gateway had no notion of workspaces; the configuration's were ignored.

Change: the configuration maps digests of keys to workspaces; a request is looked up once, its rank is that of the workspace, and replicas get the name instead of the key. Owners of engines get the name with each admission request.

--- a/src/filbertyard/gateway/admission.py
+++ b/src/filbertyard/gateway/admission.py
@@ -98,6 +98,7 @@
     end_deadline: float
     prompt_tokens: int
     output_tokens: int
+    workspace: str = ""
 
     @property
     def tokens(self) -> int:
--- a/src/filbertyard/gateway/delivery.py
+++ b/src/filbertyard/gateway/delivery.py
@@ -13,6 +13,7 @@
 from .ratelimits import Statement
 from .types import GatewayRequest
 from .types import Route
+from .types import Workspace
 
 # Callers abandon a stream when no event arrived for the longest of these times: in
 # seconds, as a multiple of the route's objective and of its maximum event gap.
@@ -52,7 +53,8 @@
     `sent_at` is when the last one was sent. `permit_until` is when the permit for a
     rate-limited replica ends, on the boot clock; `rate_limit` is what the last response
     showed of the replica's rate limit. `is_framed` tells that the response to the
-    caller has a length or chunks.
+    caller has a length or chunks. `workspace` is the caller's; without `hides_key` the
+    configuration has no workspaces, and what callers state goes to replicas.
     """
 
     request: GatewayRequest
@@ -63,6 +65,8 @@
     ]
     version: int
     service: str = ""
+    workspace: Workspace | None = None
+    hides_key: bool = False
     write: Callable[[bytes | bytearray], None] | None = None
     status: int = 0
     is_framed: bool = False
@@ -84,6 +88,17 @@
     replicas: list[str] = field(default_factory=list)
     causes: list[str] = field(default_factory=list)
 
+    @property
+    def rank(self) -> int:
+        """Return the rank of the request: that of its workspace, else of its route."""
+        if self.workspace is not None and self.workspace.rank is not None:
+            return self.workspace.rank
+        return self.route.rank
+
+    def workspace_name(self) -> str:
+        """Return the name of the caller's workspace, empty for none."""
+        return self.workspace.name if self.workspace is not None else ""
+
     def size(self) -> int:
         """Return the size of the run as `RunTimes` counts it."""
         return self.request.output_tokens if self.request.adapter is not None else 1
--- a/src/filbertyard/gateway/entry.py
+++ b/src/filbertyard/gateway/entry.py
@@ -289,9 +289,21 @@
                 version=configuration.version,
             )
             return self.send_error(start_response, 404, request.id, "no route")
+        workspace = configuration.workspaces.get(request.key_digest)
+        if workspace is None and configuration.has_workspaces and not route.is_public:
+            return self.reject_unrouted(
+                start_response, 401, request.id, "unknown API key"
+            )
         service = self.choose_service(route)
         delivery = Delivery(
-            request, route, handler, start_response, configuration.version, service
+            request,
+            route,
+            handler,
+            start_response,
+            configuration.version,
+            service,
+            workspace,
+            configuration.has_workspaces,
         )
         self.budget.record_request(service, request.arrived)
         known = configuration.services.get(service)
@@ -475,13 +487,14 @@
             replica=candidate.replica,
             model=name.model,
             adapter=name.adapter,
-            rank=PROBE_RANK if self.guard.is_probe(delivery) else delivery.route.rank,
+            rank=PROBE_RANK if self.guard.is_probe(delivery) else delivery.rank,
             objective_s=request.arrived + delivery.route.objective_s - now,
             start_timeout_s=left_s,
             deadline_s=delivery.left_s(),
             prompt_tokens=request.prompt_tokens,
             output_tokens=request.output_tokens,
             is_adapter_absent=is_adapter_absent,
+            workspace=delivery.workspace_name(),
         )
         with self.awaiting(delivery):
             try:
@@ -729,7 +742,7 @@
         now = time.monotonic()
         request, route = delivery.request, delivery.route
         first_s = (delivery.first_event_at or now) - request.arrived
-        rank = str(route.rank)
+        rank = str(delivery.rank)
         self.metrics.add("filbertyard_requests_total", rank=rank, outcome=outcome)
         if outcome == "served":
             self.metrics.observe("filbertyard_first_token_seconds", first_s, rank=rank)
@@ -740,7 +753,8 @@
             "request",
             request=request.id,
             route=route.name,
-            rank=route.rank,
+            workspace=delivery.workspace_name() or None,
+            rank=delivery.rank,
             adapter=request.adapter,
             configuration=delivery.version,
             outcome=outcome,
--- a/src/filbertyard/gateway/messages.py
+++ b/src/filbertyard/gateway/messages.py
@@ -96,7 +96,7 @@
     Times are in seconds from now: until the objective passes, until the caller gives up
     waiting for the first event, and until it gives up waiting for the response.
     `is_adapter_absent` tells that the replica has just answered that it does not hold
-    the adapter.
+    the adapter. `workspace` names the caller's workspace, empty for none.
     """
 
     request_id: str
@@ -110,6 +110,7 @@
     prompt_tokens: int
     output_tokens: int
     is_adapter_absent: bool = False
+    workspace: str = ""
 
 
 @message("gateway_granted")
--- a/src/filbertyard/gateway/owner.py
+++ b/src/filbertyard/gateway/owner.py
@@ -223,6 +223,7 @@
             end_deadline=now + message.deadline_s,
             prompt_tokens=message.prompt_tokens,
             output_tokens=message.output_tokens,
+            workspace=message.workspace,
         )
         if self.replica.is_leaving:
             return AdmissionRejected(message.request_id, "replica_leaving", 0.0)
--- a/src/filbertyard/gateway/ratelimiter.py
+++ b/src/filbertyard/gateway/ratelimiter.py
@@ -246,7 +246,7 @@
         message = PermitRequest(
             delivery.admission_id(),
             service,
-            route.rank,
+            delivery.rank,
             delivery.request.arrived + route.objective_s - now,
             wait_s,
             self.table.rows([replica.id for replica in replicas], now),
--- a/src/filbertyard/gateway/sending.py
+++ b/src/filbertyard/gateway/sending.py
@@ -127,7 +127,13 @@
         if not resume_after and route.is_resumable:
             resume_after = request.resume_after
         headers = self.wire.request_headers(
-            request, replica.id, left_s, route.rank, version, resume_after
+            request,
+            replica.id,
+            left_s,
+            delivery.rank,
+            version,
+            resume_after,
+            delivery.workspace_name() if delivery.hides_key else None,
         )
         request_timeout_s = left_s
         if not is_last:
--- a/src/filbertyard/gateway/types.py
+++ b/src/filbertyard/gateway/types.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import hashlib
 from dataclasses import dataclass
 from dataclasses import field
 from typing import Literal
@@ -9,6 +10,8 @@
 
 RequestKind = Literal["idempotent", "non_idempotent", "stream"]
 
+QuotaUnit = Literal["requests", "tokens"]
+
 
 class AdapterName(NamedTuple):
     """One adapter of a base model; an empty `adapter` is the model itself."""
@@ -33,6 +36,7 @@
     """How requests of one host and path prefix are served; rank 0 is most urgent.
 
     `max_event_gap_s` limits the gap between two events of a stream, 0 for no limit.
+    A public route needs no API key.
     """
 
     name: str
@@ -46,6 +50,7 @@
     max_replicas: int
     is_resumable: bool = False
     max_event_gap_s: float = 0.0
+    is_public: bool = False
 
     @property
     def may_retry(self) -> bool:
@@ -86,6 +91,28 @@
     engine: EngineLimits | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class Quota:
+    """What one workspace may use on all hosts together, in requests or tokens.
+
+    A request without a number of tokens counts as `plain_tokens` of them.
+    """
+
+    per_s: float
+    burst: float
+    unit: QuotaUnit = "requests"
+    plain_tokens: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Workspace:
+    """One customer of the fleet; its rank, if any, goes before that of a route."""
+
+    name: str
+    rank: int | None = None
+    quota: Quota | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class RequestLimits:
     """Limits on what callers send; times are in seconds."""
@@ -98,13 +125,18 @@
 
 @dataclass(frozen=True, slots=True)
 class Configuration:
-    """Routes and services of one version; `revision` is the store's."""
+    """Routes and services of one version; `revision` is the store's.
+
+    `workspaces` maps the digests of API keys to their workspaces; see `key_digest`.
+    """
 
     version: int
     revision: int
     routes: tuple[Route, ...]
     services: dict[str, Service]
     limits: RequestLimits | None
+    workspaces: dict[bytes, Workspace] = field(default_factory=dict, repr=False)
+    has_workspaces: bool = False
     by_host: dict[str, tuple[Route, ...]] = field(default_factory=dict)
 
     def min_event_gap_s(self, service: str) -> float:
@@ -125,14 +157,23 @@
         return None
 
 
+def key_digest(api_key: str) -> bytes:
+    """Return the digest by which an API key is stored and compared."""
+    return hashlib.sha256(api_key.encode()).digest()
+
+
 def create_configuration(
     version: int,
     revision: int,
     routes: tuple[Route, ...],
     services: dict[str, Service],
     limits: RequestLimits | None,
+    workspaces: dict[bytes, Workspace] | None = None,
 ) -> Configuration:
-    """Return a configuration with its routes in order of matching."""
+    """Return a configuration with its routes in order of matching.
+
+    Without `workspaces`, callers need no API keys.
+    """
     by_host: dict[str, list[Route]] = {}
     for route in routes:
         by_host.setdefault(route.host, []).append(route)
@@ -140,7 +181,16 @@
         host: tuple(sorted(found, key=lambda route: -len(route.prefix)))
         for host, found in by_host.items()
     }
-    return Configuration(version, revision, routes, services, limits, ordered)
+    return Configuration(
+        version,
+        revision,
+        routes,
+        services,
+        limits,
+        workspaces or {},
+        workspaces is not None,
+        ordered,
+    )
 
 
 @dataclass(frozen=True, slots=True)
@@ -216,7 +266,8 @@
 
     `prompt_parts` are the ids of the parts of its prompt that other requests may share,
     in order. `output_tokens` is the expected number, `max_output_tokens` the limit that
-    the caller set, 0 for none.
+    the caller set, 0 for none. `key_digest` is that of the caller's API key, empty
+    without one.
     """
 
     id: str
@@ -233,6 +284,7 @@
     max_output_tokens: int = 0
     resume_after: str = ""
     prompt_parts: tuple[str, ...] = ()
+    key_digest: bytes = field(default=b"", repr=False)
 
     def left_s(self, now: float) -> float:
         """Return the time until the deadline."""
--- a/src/filbertyard/gateway/wire.py
+++ b/src/filbertyard/gateway/wire.py
@@ -21,13 +21,27 @@
 OrderResult = Literal["held", "accepted", "busy", "stale", "refused"]
 
 
+@dataclass(frozen=True, slots=True)
+class ReportedLoad:
+    """Load that a replica reports: its requests, its slots, how slow it is now.
+
+    `running` is -1 and `slots` 0 if not stated. Work takes `slowdown` times as long as
+    usual on the replica's machine.
+    """
+
+    running: int = -1
+    waiting: int = 0
+    slots: int = 0
+    slowdown: float = 1.0
+
+
 @dataclass(frozen=True, slots=True)
 class ResponseHead:
     """Decoded status and headers of a replica's response.
 
     `is_not_run` tells that by its own statement the replica did not and will not run
     the request, `is_adapter_absent` that it does not hold the adapter or is another
-    replica. `running` and `waiting` count its requests, -1 running if not stated.
+    replica. `running`, `waiting`, `slots` and `slowdown` are as in `ReportedLoad`.
     `rate_limit` is the number of requests per second that it takes from all hosts
     together: infinite if the head names no limit, None if it names an unreadable one.
     """
@@ -39,6 +53,8 @@
     is_adapter_absent: bool
     running: int = -1
     waiting: int = 0
+    slots: int = 0
+    slowdown: float = 1.0
     rate_limit: float | None = math.inf
 
 
@@ -98,8 +114,13 @@
         rank: int,
         version: int,
         resume_after: str,
+        workspace: str | None = None,
     ) -> dict[str, str]:
-        """Return the headers for a replica; `version` 0 leaves the choice to it."""
+        """Return the headers for a replica; `version` 0 leaves the choice to it.
+
+        `workspace` names the caller's workspace, empty for none; None leaves the
+        caller's credentials as they are, for a configuration without workspaces.
+        """
 
     def read_response_head(
         self, status: int, headers: list[tuple[str, str]]
--- a/src/filbertyard/platform/documents.py
+++ b/src/filbertyard/platform/documents.py
@@ -9,6 +9,7 @@
 from pydantic import BaseModel
 from pydantic import ConfigDict
 from pydantic import Field
+from pydantic import SecretStr
 from pydantic import ValidationError
 
 from ..exceptions import DocumentError
@@ -17,13 +18,17 @@
 from ..gateway.types import EngineLimits
 from ..gateway.types import EngineReport
 from ..gateway.types import ModelLimits
+from ..gateway.types import Quota
+from ..gateway.types import QuotaUnit
 from ..gateway.types import Replica
 from ..gateway.types import RequestKind
 from ..gateway.types import RequestLimits
 from ..gateway.types import Route
 from ..gateway.types import Service
 from ..gateway.types import WeightedService
+from ..gateway.types import Workspace
 from ..gateway.types import create_configuration
+from ..gateway.types import key_digest
 from ..jsonvalues import parse_count
 from ..jsonvalues import parse_json
 from ..keyvalue import Item
@@ -48,6 +53,8 @@
     "streaming": "stream",
 }
 
+QUOTA_UNITS: dict[str, QuotaUnit] = {"tokens": "tokens"}
+
 
 class Document(BaseModel):
     """Base class of the documents; unknown fields are ignored."""
@@ -78,6 +85,7 @@
     max_attempts: Count = Field(default=1, alias="maxAttempts")
     resumable: bool = False
     gap_ms: Quantity = Field(default=0.0, alias="gapTargetMs")
+    public: bool = False
 
     def decode(self) -> Route:
         """Convert to the gateway's route type."""
@@ -100,6 +108,7 @@
             max_replicas=self.max_attempts,
             is_resumable=self.resumable,
             max_event_gap_s=self.gap_ms / 1000,
+            is_public=self.public,
         )
 
 
@@ -156,6 +165,27 @@
     idle_ms: Quantity = Field(alias="idleTimeoutMs")
 
 
+class TenantDocument(Document):
+    """A workspace with its API keys and its quota over all hosts."""
+
+    name: str
+    api_keys: list[SecretStr] = Field(default=[], alias="apiKeys")
+    priority: Count | None = None
+    # Quantities are requests or tokens; 0 means no limit.
+    unit: str = ""
+    plain_tokens: Count = Field(default=0, alias="plainTokens")
+    per_s: Quantity = Field(default=0.0, alias="ratePerS")
+    burst: Quantity = 0.0
+
+    def decode(self) -> Workspace:
+        """Convert to the gateway's workspace type."""
+        quota = None
+        if self.per_s > 0:
+            unit = QUOTA_UNITS.get(self.unit, "requests")
+            quota = Quota(self.per_s, self.burst, unit, self.plain_tokens)
+        return Workspace(self.name, self.priority, quota)
+
+
 class ConfigurationDocument(Document):
     """The newest configuration, always complete."""
 
@@ -163,6 +193,7 @@
     routes: list[RouteDocument]
     services: list[ServiceDocument]
     limits: LimitsDocument | None = None
+    tenants: list[TenantDocument] | None = None
 
 
 class ResidentModelDocument(Document):
@@ -271,9 +302,24 @@
         )
         if limits is not None
         else None,
+        decode_workspaces(document.tenants),
     )
 
 
+def decode_workspaces(
+    tenants: list[TenantDocument] | None,
+) -> dict[bytes, Workspace] | None:
+    """Return the workspaces by the digests of their keys, None without workspaces."""
+    if not tenants:
+        return None
+    return {
+        key_digest(key.get_secret_value()): workspace
+        for tenant in tenants
+        for workspace in [tenant.decode()]
+        for key in tenant.api_keys
+    }
+
+
 def decode_replica(item: Item) -> Replica:
     """Decode a replica's entry; raise DocumentError if it is invalid."""
     replica_id = item.key.removeprefix(REPLICA_PREFIX)
--- a/src/filbertyard/platform/wireformat.py
+++ b/src/filbertyard/platform/wireformat.py
@@ -13,10 +13,12 @@
 from ..gateway.types import EngineReport
 from ..gateway.types import GatewayRequest
 from ..gateway.types import Replica
+from ..gateway.types import key_digest
 from ..gateway.wire import HttpMessage
 from ..gateway.wire import KeyLayout
 from ..gateway.wire import Order
 from ..gateway.wire import OrderResult
+from ..gateway.wire import ReportedLoad
 from ..gateway.wire import ResponseHead
 from ..jsonvalues import parse_count
 from ..keyvalue import Item
@@ -36,6 +38,9 @@
 LAST_EVENT = "Last-Event-Id"
 NOT_EXECUTED = "Not-Executed"
 SERVER_LOAD = "Server-Load"
+AUTHORIZATION = "Authorization"
+# The name of the caller's workspace.
+TENANT = "Tenant"
 # Requests per second that the replica takes from all hosts together.
 SERVER_LIMIT = "Server-Limit"
 
@@ -137,6 +142,7 @@
             max_output_tokens=output,
             resume_after=fields.get(LAST_EVENT.lower(), ""),
             prompt_parts=parse_prompt_prefix(fields.get(PROMPT_PREFIX.lower(), "")),
+            key_digest=parse_authorization(fields.get(AUTHORIZATION.lower(), "")),
         )
 
     def request_headers(
@@ -147,9 +153,14 @@
         rank: int,
         version: int,
         resume_after: str,
+        workspace: str | None = None,
     ) -> dict[str, str]:
         """Return the headers for a replica; it picks the version if `version` is 0."""
         headers = dict(request.headers)
+        if workspace is not None:
+            headers = without_credentials(headers)
+            if workspace:
+                headers[TENANT] = workspace
         headers[DEADLINE] = str(max(1, int(left_s * 1000)))
         headers[TARGET_INSTANCE] = replica
         if request.adapter is not None:
@@ -165,7 +176,7 @@
     ) -> ResponseHead:
         """Decode the head of a replica's response."""
         fields = {name.lower(): value for name, value in headers}
-        running, waiting = parse_server_load(fields.get(SERVER_LOAD.lower(), ""))
+        load = parse_server_load(fields.get(SERVER_LOAD.lower(), ""))
         is_adapter_absent = status == HTTPStatus.MISDIRECTED_REQUEST
         return ResponseHead(
             status=status,
@@ -173,8 +184,10 @@
             is_signed=SIGNATURE.lower() in fields,
             is_not_run=is_adapter_absent or NOT_EXECUTED.lower() in fields,
             is_adapter_absent=is_adapter_absent,
-            running=running,
-            waiting=waiting,
+            running=load.running,
+            waiting=load.waiting,
+            slots=load.slots,
+            slowdown=load.slowdown,
             rate_limit=parse_server_limit(
                 [
                     value
@@ -256,6 +269,22 @@
         return documents.decode_adapter_version(item)
 
 
+def without_credentials(headers: dict[str, str]) -> dict[str, str]:
+    """Return headers without the API key and the workspace that a caller stated."""
+    dropped = (AUTHORIZATION.lower(), TENANT.lower())
+    return {
+        name: value for name, value in headers.items() if name.lower() not in dropped
+    }
+
+
+def parse_authorization(text: str) -> bytes:
+    """Return the digest of the API key in an Authorization header, empty without."""
+    scheme, _, api_key = text.partition(" ")
+    if scheme.lower() != "bearer" or not api_key.strip():
+        return b""
+    return key_digest(api_key.strip())
+
+
 def parse_connection_header(connection: str | None) -> frozenset[str]:
     """Parse the lowercase header names that a Connection header lists."""
     names = (connection or "").split(",")
@@ -293,15 +322,22 @@
     return AdapterName(model, adapter)
 
 
-def parse_server_load(text: str) -> tuple[int, int]:
-    """Parse a replica's running and waiting requests, -1 running if unknown."""
-    counts = [parse_count(part.strip()) for part in text.split(",", 2)[:2]]
+def parse_server_load(text: str) -> ReportedLoad:
+    """Parse what a replica reports of its load, -1 running if unknown.
+
+    The header is optional: not every service reports its load, and not every one that
+    does names its slots and how long work takes, in percent of the usual time.
+    """
+    counts = [parse_count(part.strip()) for part in text.split(",", 4)[:4]]
     match counts:
-        case [int(running), int(waiting)]:
-            return running, waiting
+        case [int(running), int(waiting), int(slots), int(percent)] if percent > 0:
+            return ReportedLoad(running, waiting, slots, percent / 100)
+        case [int(running), int(waiting), int(slots), *_]:
+            return ReportedLoad(running, waiting, slots)
+        case [int(running), int(waiting), *_]:
+            return ReportedLoad(running, waiting)
         case _:
-            # The header is optional: not every service reports its load.
-            return -1, 0
+            return ReportedLoad()
 
 
 def parse_server_limit(values: list[str]) -> float | None:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -16,6 +16,8 @@
 from filbertyard.exceptions import SettingsError
 from filbertyard.gateway.process import reload
 from filbertyard.gateway.types import AdapterName
+from filbertyard.gateway.types import Quota
+from filbertyard.gateway.types import Workspace
 from filbertyard.gateway.wire import Order
 from filbertyard.keyvalue import Compare
 from filbertyard.keyvalue import Item
@@ -302,3 +304,60 @@
     assert shared.prompt_parts == ("5c1e07a2", "91bd3f06")
     assert request(Prompt_Prefix="e4402b7d:250").prompt_parts == ()
     assert request().prompt_parts == ()
+
+
+def workspace_configuration(**changes: object) -> Item:
+    value = {
+        "version": 3,
+        "routes": [],
+        "services": [],
+        "tenants": [
+            {
+                "name": "north",
+                "apiKeys": ["k1", "k2"],
+                "priority": 0,
+                "unit": "tokens",
+                "plainTokens": 200,
+                "ratePerS": 500,
+                "burst": 900,
+            },
+            {"name": "south", "apiKeys": ["k3"]},
+        ],
+    }
+    return item("op/config", {**value, **changes})
+
+
+def test_api_keys_are_kept_as_digests_of_their_workspaces() -> None:
+    """Guards against keys that a dump of the configuration would show."""
+    found = WIRE_FORMAT.read_configuration(workspace_configuration())
+    caller = request(Authorization="Bearer k2")
+    north = found.workspaces[caller.key_digest]
+    assert (north.name, north.rank) == ("north", 0)
+    assert north.quota == Quota(500.0, 900.0, "tokens", 200)
+    south = found.workspaces[request(Authorization="Bearer k3").key_digest]
+    assert south == Workspace("south")
+    assert request(Authorization="Basic k2").key_digest == b""
+    assert "k1" not in repr(found)
+    assert found.has_workspaces
+    without = WIRE_FORMAT.read_configuration(workspace_configuration(tenants=[]))
+    assert not without.has_workspaces
+
+
+def test_replicas_get_the_workspace_and_never_the_key() -> None:
+    """Guards against a caller that names a workspace of its own choice."""
+    found = request(Authorization="Bearer k2", Tenant="other")
+    sent = WIRE_FORMAT.request_headers(found, "i-1", 1.0, 0, 0, "", "north")
+    names = {name.lower() for name in sent}
+    assert "authorization" not in names
+    assert sent["Tenant"] == "north"
+    assert "k2" not in repr(sent)
+    public = WIRE_FORMAT.request_headers(found, "i-1", 1.0, 0, 0, "", "")
+    assert not {"authorization", "tenant"} & {name.lower() for name in public}
+
+
+def test_replicas_report_their_slots_and_how_slow_they_are() -> None:
+    head = WIRE_FORMAT.read_response_head(200, [("Server-Load", "3,1,8,250")])
+    assert (head.running, head.waiting, head.slots, head.slowdown) == (3, 1, 8, 2.5)
+    head = WIRE_FORMAT.read_response_head(200, [("Server-Load", "3,1,8")])
+    assert (head.slots, head.slowdown) == (8, 1.0)
+    assert WIRE_FORMAT.read_response_head(200, []).running == -1
