Answer 401 only where the configuration is confirmed to be the newest one

What callers saw: a host that had not heard of a new key yet answered 401, which callers do not repeat; a host that had lost the store answered 401 for keys that may have been added.

Cause: an unknown key was judged by whatever configuration the host had.

Change: an unknown key is judged by a configuration that was the newest one at most half a second ago. The host asks the store, or else two hosts that the store answers, at most twice a second; until then it answers 503 with Retry-After. The settings revokeClosed and revokeMs say whether known keys are rejected by a host that cannot confirm its configuration. Errors about unreadable documents and changes of peers no longer show their content, which may hold keys. Requests are counted by workspace, rejections by cause, confirmations by source.

--- a/src/filbertyard/gateway/entry.py
+++ b/src/filbertyard/gateway/entry.py
@@ -27,6 +27,7 @@
 from ..metrics import Metrics
 from .admission import Rejection
 from .claims import boot_clock
+from .confirmation import ConfigurationConfirmer
 from .delivery import PERMIT_EXPIRED
 from .delivery import Attempt
 from .delivery import Delivery
@@ -52,10 +53,13 @@
 from .sending import Sender
 from .state import GatewayState
 from .types import AdapterName
+from .types import Configuration
 from .types import GatewayRequest
 from .types import Replica
 from .types import Route
 from .wire import WireFormat
+from .workspaces import Access
+from .workspaces import AccessPolicy
 
 logger = logging.getLogger(__name__)
 
@@ -77,6 +81,10 @@
 # A host that has just started reads the configuration within this time.
 UNCONFIGURED_RETRY_AFTER_S = 1.0
 
+# A caller whose key this host cannot judge now may reach another one that can at once,
+# or this one after its next attempt to confirm the configuration.
+UNCONFIRMED_RETRY_AFTER_S = 0.5
+
 # A request waits for this long until a host that has just started knows its routes.
 # The first readings of the store take a tenth of it.
 MAX_START_WAIT_S = 0.5
@@ -156,6 +164,8 @@
         budget: RetryBudget,
         metrics: Metrics,
         zone: str,
+        confirmer: ConfigurationConfirmer,
+        access_policy: AccessPolicy,
     ) -> None:
         self.wire = wire
         self.state = state
@@ -165,6 +175,8 @@
         self.budget = budget
         self.metrics = metrics
         self.zone = zone
+        self.confirmer = confirmer
+        self.access_policy = access_policy
         self.sender = Sender(
             wire,
             state.is_usable,
@@ -261,9 +273,17 @@
         return body
 
     def serve(
-        self, request: GatewayRequest, handler: Any, start_response: Callable[..., Any]
+        self,
+        request: GatewayRequest,
+        handler: Any,
+        start_response: Callable[..., Any],
+        *,
+        is_confirmed: bool = False,
     ) -> list[bytes]:
-        """Route a request and deliver its response."""
+        """Route a request and deliver its response.
+
+        `is_confirmed` tells that the configuration has been confirmed for this request.
+        """
         self.await_start(request.arrived)
         configuration = self.state.configuration
         if not self.accepts_requests:
@@ -289,11 +309,18 @@
                 version=configuration.version,
             )
             return self.send_error(start_response, 404, request.id, "no route")
-        workspace = configuration.workspaces.get(request.key_digest)
-        if workspace is None and configuration.has_workspaces and not route.is_public:
-            return self.reject_unrouted(
-                start_response, 401, request.id, "unknown API key"
-            )
+        access = self.access_policy.decide(
+            configuration, route, request.key_digest, self.confirmer.age_s()
+        )
+        if access.verdict != "allowed":
+            if access.verdict == "unconfirmed" and not is_confirmed:
+                is_confirmed = self.confirmer.confirm(access.max_age_s)
+                if is_confirmed:
+                    # The route may have changed with the configuration, too.
+                    return self.serve(
+                        request, handler, start_response, is_confirmed=True
+                    )
+            return self.reject_access(request, configuration, access, start_response)
         service = self.choose_service(route)
         delivery = Delivery(
             request,
@@ -302,7 +329,7 @@
             start_response,
             configuration.version,
             service,
-            workspace,
+            access.workspace,
             configuration.has_workspaces,
         )
         self.budget.record_request(service, request.arrived)
@@ -744,6 +771,12 @@
         first_s = (delivery.first_event_at or now) - request.arrived
         rank = str(delivery.rank)
         self.metrics.add("filbertyard_requests_total", rank=rank, outcome=outcome)
+        if delivery.workspace is not None:
+            self.metrics.add(
+                "filbertyard_workspace_requests_total",
+                workspace=delivery.workspace.name,
+                outcome=outcome,
+            )
         if outcome == "served":
             self.metrics.observe("filbertyard_first_token_seconds", first_s, rank=rank)
             if first_s <= route.objective_s:
@@ -801,6 +834,38 @@
             delivery.start_response, status, delivery.request.id, detail
         )
 
+    def reject_access(
+        self,
+        request: GatewayRequest,
+        configuration: Configuration,
+        access: Access,
+        start_response: Callable[..., Any],
+    ) -> list[bytes]:
+        """Reject a request by its key, or because the key could not be judged."""
+        is_unknown = access.verdict == "unknown_key"
+        cause = "unknown_key" if access.workspace is None else "known_key"
+        if not is_unknown:
+            cause = f"{cause}_unconfirmed"
+        self.metrics.add("filbertyard_key_rejections_total", cause=cause)
+        status = 401 if is_unknown else 503
+        retry_after_s = 0.0 if is_unknown else UNCONFIRMED_RETRY_AFTER_S
+        age_s = self.confirmer.age_s()
+        log_event(
+            logger,
+            "key_rejected",
+            request=request.id,
+            status=status,
+            cause=cause,
+            workspace=access.workspace.name if access.workspace is not None else None,
+            version=configuration.version,
+            revision=configuration.revision,
+            confirmed_s=age_s if math.isfinite(age_s) else None,
+        )
+        detail = "unknown API key" if is_unknown else "not run: API key not confirmed"
+        return self.send_error(
+            start_response, status, request.id, detail, retry_after_s
+        )
+
     def abort(self, delivery: Delivery) -> list[bytes]:
         """Abort a response that has begun, so that it cannot look complete."""
         self.record_end(delivery, "broken")
--- a/src/filbertyard/gateway/fleet.py
+++ b/src/filbertyard/gateway/fleet.py
@@ -18,6 +18,7 @@
 from .hubs import MAX_MESH_HOSTS
 from .hubs import all_hubs
 from .hubs import is_hub_for
+from .hubs import rendezvous_order
 from .hubs import watches_store
 from .messages import Digest
 from .messages import FeedPush
@@ -157,6 +158,18 @@
             if zone == self.zone
         }
 
+    def connected_hosts(self) -> list[str]:
+        """Return the other live hosts that the store answers, those of the zone first.
+
+        The order differs from host to host, which spreads what they are asked.
+        """
+        found = [
+            key
+            for key in rendezvous_order(self.id, self.active_zones())
+            if self.members[key].digest.is_connected
+        ]
+        return sorted(found, key=lambda key: self.members[key].digest.zone != self.zone)
+
     def expected_zone_peers(self) -> dict[str, bool]:
         """Return the hosts of this zone presumed alive, as `zone_peers` does.
 
--- a/src/filbertyard/gateway/host.py
+++ b/src/filbertyard/gateway/host.py
@@ -25,6 +25,7 @@
 from .claims import Registrar
 from .claims import boot_clock
 from .claimtable import ClaimTable
+from .confirmation import ConfigurationConfirmer
 from .directory import DirectoryApplication
 from .entry import EntryApplication
 from .fleet import Fleet
@@ -42,6 +43,7 @@
 from .ratelimiter import RateLimiter
 from .ratelimits import RateLimitTable
 from .retrybudget import create_retry_budget
+from .settings import GatewayBounds
 from .settings import GatewaySettings
 from .state import GatewayState
 from .state import create_gateway_state
@@ -55,6 +57,8 @@
 from .types import AdapterName
 from .types import HostRecord
 from .wire import WireFormat
+from .workspaces import AccessPolicy
+from .workspaces import create_access_policy
 
 logger = logging.getLogger(__name__)
 
@@ -125,6 +129,14 @@
         self.limiter = RateLimiter(
             self.fleet, self.peers, self.state, self.rate_limits, self.metrics
         )
+        self.confirmer = ConfigurationConfirmer(
+            self.state,
+            self.store,
+            self.sync,
+            self.peers,
+            self.fleet.connected_hosts,
+            self.metrics,
+        )
         self.entry = EntryApplication(
             wire,
             self.state,
@@ -134,6 +146,8 @@
             self.budget,
             self.metrics,
             settings.availability_zone,
+            self.confirmer,
+            access_policy(bounds),
         )
         self.directory = DirectoryApplication(self, wire, bounds.address_ttl_s)
         batch_intervals = {
@@ -440,6 +454,7 @@
         self.budget.ratio = bounds.retry_ratio
         self.budget.slack = bounds.retry_slack
         self.budget.window_s = bounds.retry_window_s
+        self.entry.access_policy = access_policy(bounds)
         log_event(
             logger,
             "reload",
@@ -487,6 +502,14 @@
         self.peers.stop()
 
 
+def access_policy(bounds: GatewayBounds) -> AccessPolicy:
+    """Return how long a host that may be outdated accepts API keys."""
+    return create_access_policy(
+        rejects_unconfirmed=bounds.rejects_unconfirmed,
+        max_unconfirmed_s=bounds.max_unconfirmed_s,
+    )
+
+
 def create_gateway_host(settings: GatewaySettings, wire: WireFormat) -> GatewayHost:
     """Return a gateway host that is not started yet."""
     return GatewayHost(settings, wire)
--- a/src/filbertyard/gateway/messages.py
+++ b/src/filbertyard/gateway/messages.py
@@ -88,6 +88,24 @@
     store_failure_age_s: float = math.inf
 
 
+@message("gateway_confirm_configuration")
+@dataclass(slots=True)
+class ConfirmConfiguration(Message):
+    """Ask a host that the store answers for the newest configuration."""
+
+
+@message("gateway_configuration_age")
+@dataclass(slots=True)
+class ConfigurationAge(Message):
+    """Reply to `ConfirmConfiguration`: the revision of the configuration in force.
+
+    It was the newest one `age_s` ago; None if the store does not answer the host.
+    """
+
+    revision: int
+    age_s: float | None = None
+
+
 @message("gateway_ask")
 @dataclass(slots=True)
 class AdmissionRequest(Message):
--- a/src/filbertyard/gateway/settings.py
+++ b/src/filbertyard/gateway/settings.py
@@ -12,7 +12,9 @@
 
     `order_gap_s` is the minimum time between the orders of two owners of one replica.
     Retries of requests stay below `retry_ratio` of the requests plus `retry_slack`
-    within `retry_window_s`, summed over all hosts.
+    within `retry_window_s`, summed over all hosts. With `rejects_unconfirmed`, API keys
+    are rejected by a host that could not confirm its configuration for
+    `max_unconfirmed_s`.
     """
 
     drain_s: float
@@ -22,6 +24,8 @@
     retry_window_s: float
     retry_slack: float
     address_ttl_s: float
+    rejects_unconfirmed: bool = False
+    max_unconfirmed_s: float = 5.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/filbertyard/gateway/sync.py
+++ b/src/filbertyard/gateway/sync.py
@@ -244,7 +244,10 @@
 
     def reject_row(self, peer: str, feed: Feed, row: Any) -> None:
         """Log a change that a peer sent in a form that this host does not know."""
-        cause = f"unknown form of a change: {ascii(row)[:80]}"
+        # Its values may hold API keys.
+        parts = row if isinstance(row, list) else [row]
+        types = ",".join(type(part).__name__ for part in parts)
+        cause = f"unknown form of a change: {types[:80]}"
         self.state.rejections.record(f"{feed.prefix} of {peer}", cause)
 
     def handle_push(self, peer: str, push: FeedPush) -> None:
--- a/src/filbertyard/gateway/types.py
+++ b/src/filbertyard/gateway/types.py
@@ -274,8 +274,8 @@
     host: str
     method: str
     target: str
-    headers: list[tuple[str, str]]
-    body: bytes
+    headers: list[tuple[str, str]] = field(repr=False)
+    body: bytes = field(repr=False)
     arrived: float
     deadline: float
     adapter: AdapterName | None = None
--- a/src/filbertyard/httpcalls.py
+++ b/src/filbertyard/httpcalls.py
@@ -488,13 +488,19 @@
                 raise
         return response, data
 
-    def parse_json(self, response: HttpResponse, data: bytes) -> Any:
-        """Return the parsed body; raise UpstreamError if it is not JSON."""
+    def parse_json(
+        self, response: HttpResponse, data: bytes, *, is_secret: bool = False
+    ) -> Any:
+        """Return the parsed body; raise UpstreamError if it is not JSON.
+
+        The error shows nothing of a secret body.
+        """
         try:
             return json.loads(data) if data else None
         except (ValueError, RecursionError) as error:
+            shown = f"{len(data)} bytes" if is_secret else repr(data[:80])
             raise UpstreamError(
-                f"response is not JSON: {data[:80]!r}",
+                f"response is not JSON: {shown}",
                 step=self.step,
                 peer=self.address,
                 sent=True,
--- a/src/filbertyard/jsonvalues.py
+++ b/src/filbertyard/jsonvalues.py
@@ -29,22 +29,25 @@
 MAX_COUNT_DIGITS = 9
 
 
-def parse_json(data: bytes | str, what: str) -> Any:
-    """Parse a document and check its values; raise DocumentError."""
+def parse_json(data: bytes | str, what: str, *, is_secret: bool = False) -> Any:
+    """Parse a document and check its values; raise DocumentError.
+
+    The error shows nothing of a secret document.
+    """
     if len(data) > MAX_DOCUMENT_BYTES:
         raise DocumentError(what, f"{len(data)} bytes, expected {MAX_DOCUMENT_BYTES}")
     try:
         value = json.loads(data)
     except ValueError as error:
-        shown = data[:MAX_SHOWN_CHARACTERS]
-        raise DocumentError(what, f"not JSON: {shown!r}") from error
+        shown = f"{len(data)} bytes" if is_secret else repr(data[:MAX_SHOWN_CHARACTERS])
+        raise DocumentError(what, f"not JSON: {shown}") from error
     except RecursionError as error:
         raise DocumentError(what, f"more than {MAX_DEPTH} levels deep") from error
-    check_value(value, what)
+    check_value(value, what, is_secret=is_secret)
     return value
 
 
-def check_value(value: Any, what: str) -> None:
+def check_value(value: Any, what: str, *, is_secret: bool = False) -> None:
     """Check depth, numbers and text of a parsed document; raise DocumentError."""
     level = [value]
     for _ in range(MAX_DEPTH):
@@ -56,7 +59,7 @@
             elif isinstance(item, list):
                 below.extend(item)
             elif isinstance(item, str):
-                check_text(item, what)
+                check_text(item, what, is_secret=is_secret)
             elif isinstance(item, int | float) and not abs(item) <= MAX_NUMBER:
                 # Neither infinity nor NaN is in the range.
                 raise DocumentError(what, f"a number beyond {MAX_NUMBER}")
@@ -66,12 +69,12 @@
     raise DocumentError(what, f"more than {MAX_DEPTH} levels deep")
 
 
-def check_text(text: str, what: str) -> None:
+def check_text(text: str, what: str, *, is_secret: bool = False) -> None:
     """Check that a text can be sent to other hosts; raise DocumentError."""
     try:
         text.encode()
     except UnicodeEncodeError as error:
-        shown = ascii(text[:MAX_SHOWN_CHARACTERS])
+        shown = "" if is_secret else ascii(text[:MAX_SHOWN_CHARACTERS])
         raise DocumentError(what, f"text that is not Unicode: {shown}") from error
 
 
--- a/src/filbertyard/metrics.py
+++ b/src/filbertyard/metrics.py
@@ -41,6 +41,9 @@
 COUNTERS = {
     "filbertyard_key_value_calls_total": "Calls of the key-value service by outcome.",
     "filbertyard_requests_total": "Requests by rank and outcome.",
+    "filbertyard_workspace_requests_total": "Requests by workspace and outcome.",
+    "filbertyard_key_rejections_total": "Requests rejected by their API key.",
+    "filbertyard_configuration_confirmations_total": "Confirmations by source.",
     "filbertyard_first_tokens_in_target_total": "First tokens within their target.",
     "filbertyard_tokens_total": "Parts of streamed responses relayed to callers.",
     "filbertyard_rejections_total": "Attempts on replicas of this host not run.",
--- a/src/filbertyard/platform/documents.py
+++ b/src/filbertyard/platform/documents.py
@@ -240,10 +240,12 @@
     version: Count
 
 
-def validate(model: type[Document], data: bytes, what: str) -> Any:
+def validate(
+    model: type[Document], data: bytes, what: str, *, is_secret: bool = False
+) -> Any:
     """Validate a document; raise DocumentError naming the field."""
     try:
-        return model.model_validate(parse_json(data, what))
+        return model.model_validate(parse_json(data, what, is_secret=is_secret))
     except ValidationError as error:
         first = error.errors()[0]
         field = ".".join(str(part) for part in first["loc"])
@@ -279,7 +281,8 @@
 
 def decode_configuration(item: Item) -> Configuration:
     """Decode the configuration; raise DocumentError."""
-    document = validate(ConfigurationDocument, item.value, item.key)
+    # It holds the API keys of the workspaces.
+    document = validate(ConfigurationDocument, item.value, item.key, is_secret=True)
     limits = document.limits
     services = {
         service.name: Service(
--- a/src/filbertyard/platform/settings.py
+++ b/src/filbertyard/platform/settings.py
@@ -45,6 +45,10 @@
     retry_window_s: PositiveQuantity = Field(alias="budgetWindowS")
     retry_slack: Quantity = Field(alias="budgetSlack")
     ttl_max_s: PositiveQuantity = 5.0
+    # Whether a host that may have missed removed API keys rejects all of them, and how
+    # long it goes on accepting them before.
+    revoke_closed: bool = Field(default=False, alias="revokeClosed")
+    revoke_ms: Quantity = Field(default=5000.0, alias="revokeMs")
 
 
 class Provider(BaseModel):
@@ -109,5 +113,7 @@
             retry_window_s=bounds.retry_window_s,
             retry_slack=bounds.retry_slack,
             address_ttl_s=bounds.ttl_max_s,
+            rejects_unconfirmed=bounds.revoke_closed,
+            max_unconfirmed_s=bounds.revoke_ms / 1000,
         ),
     )
--- a/src/filbertyard/platform/store.py
+++ b/src/filbertyard/platform/store.py
@@ -93,7 +93,8 @@
                 method, path, body, JSON_HEADERS, timeout_s=timeout_s
             )
             self.record_era(response.header(STORE_ERA), name)
-            data = self.peer.parse_json(response, received)
+            # The operator's configuration holds API keys.
+            data = self.peer.parse_json(response, received, is_secret=True)
         except UpstreamError as error:
             raise self.unavailable(error.message, name) from error
         status = response.status
--- a/src/filbertyard/platform/wireformat.py
+++ b/src/filbertyard/platform/wireformat.py
@@ -211,6 +211,8 @@
         headers = [("Content-Type", "application/json")]
         if request_id:
             headers.append((REQUEST_ID, request_id))
+        if status == HTTPStatus.UNAUTHORIZED:
+            headers.append(("WWW-Authenticate", "Bearer"))
         if retry_after_s > 0:
             headers.append(("Retry-After", f"{retry_after_s:.2f}"))
         return headers, body
