--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -3,6 +3,7 @@
 import itertools
 from collections.abc import Callable
 from collections.abc import Iterator
+from dataclasses import replace
 
 import gevent
 import pytest
@@ -284,6 +285,19 @@
     assert fleet.ran == {"x": 1}
 
 
+def test_a_key_of_one_team_never_answers_another_team() -> None:
+    """Guard against a response that goes to a team whose call it does not answer."""
+    fleet = Fleet(["a", "b"])
+    run(fleet, "a", "x")
+    other = replace(call_of(1, "x"), team="t2")
+    replies = list(fleet.hosts["b"].run(other, "key"))
+    assert ["Idempotency-Replayed", "true"] not in replies[0].headers
+    assert fleet.ran == {"x": 2}
+    names = list(fleet.key_value.items)
+    assert len(names) == 2
+    assert names[0].rpartition("/")[0] != names[1].rpartition("/")[0]
+
+
 @pytest.mark.parametrize(
     ("outcome", "body", "status", "cause"),
     [("failed", "x", 409, "in_progress"), ("ok", "other", 422, "key_reused")],
