Share one reading of the store among the hosts that ask for a confirmation

Without it, each host that the store turned away caused a call at the host that it asked, and those calls queued up while the store was silent.

--- a/src/filbertyard/gateway/confirmation.py
+++ b/src/filbertyard/gateway/confirmation.py
@@ -9,6 +9,7 @@
 
 import gevent
 from gevent.event import Event
+from gevent.lock import BoundedSemaphore
 from result import Ok
 
 from ..backoff import Backoff
@@ -67,6 +68,8 @@
         self.is_failing = False
         self.backoff = Backoff(MIN_RETRY_DELAY_S, MAX_RETRY_DELAY_S)
         self.ended: Event | None = None
+        self.store_lock = BoundedSemaphore()
+        self.store_retry_at = -math.inf
         peers.handle(ConfirmConfiguration, self.handle_confirm)
 
     def age_s(self) -> float:
@@ -93,26 +96,25 @@
         started_at = time.monotonic()
         source = "none"
         try:
-            confirmed_at = started_at
-            if self.read_store():
+            if self.confirm_by_store():
                 source = "store"
             else:
                 age_s = self.ask_peers()
                 if age_s is not None:
-                    source, confirmed_at = "peer", started_at - age_s
-            self.record(source, confirmed_at)
+                    source = "peer"
+                    self.confirmed_at = max(self.confirmed_at, started_at - age_s)
+            self.record(source)
         finally:
             self.ended = None
             ended.set()
 
-    def record(self, source: str, confirmed_at: float) -> None:
+    def record(self, source: str) -> None:
         """Record the result of a confirmation; log when it begins or ceases to fail."""
         self.metrics.add("filbertyard_configuration_confirmations_total", source=source)
         is_failing = source == "none"
         if is_failing:
             self.retry_at = time.monotonic() + self.backoff.next_delay_s()
         else:
-            self.confirmed_at = max(self.confirmed_at, confirmed_at)
             self.backoff.reset()
         if is_failing != self.is_failing:
             self.is_failing = is_failing
@@ -132,6 +134,20 @@
         configuration = self.state.configuration
         return configuration.revision if configuration is not None else 0
 
+    def confirm_by_store(self) -> bool:
+        """Confirm the configuration by the store; all who ask share one reading."""
+        with self.store_lock:
+            if self.age_s() <= PEER_MAX_AGE_S:
+                return True
+            asked_at = time.monotonic()
+            if asked_at < self.store_retry_at:
+                return False
+            if not self.read_store():
+                self.store_retry_at = time.monotonic() + MIN_RETRY_DELAY_S
+                return False
+            self.confirmed_at = max(self.confirmed_at, asked_at)
+            return True
+
     def read_store(self) -> bool:
         """Compare with the store and read what is newer; tell if it is in force."""
         layout = self.state.wire.layout
@@ -174,9 +190,5 @@
 
         The store alone is asked here, so that hosts without it do not ask each other.
         """
-        if self.age_s() > PEER_MAX_AGE_S:
-            asked_at = time.monotonic()
-            if not self.read_store():
-                return ConfigurationAge(self.known_revision())
-            self.confirmed_at = max(self.confirmed_at, asked_at)
-        return ConfigurationAge(self.known_revision(), self.age_s())
+        age_s = self.age_s() if self.confirm_by_store() else None
+        return ConfigurationAge(self.known_revision(), age_s)
--- a/tests/test_gateway_workspaces.py
+++ b/tests/test_gateway_workspaces.py
@@ -219,7 +219,7 @@
         assert not found.confirm(UNKNOWN_KEY_MAX_AGE_S)
     assert len(store.calls) == 1
     assert found.peers.asked == ["p1", "p2"]
-    found.retry_at = -math.inf
+    found.retry_at = found.store_retry_at = -math.inf
     store.is_away = False
     assert found.confirm(UNKNOWN_KEY_MAX_AGE_S)
 
@@ -249,8 +249,19 @@
     assert found.handle_confirm("x", ConfirmConfiguration()).age_s is None
     # Two hosts that both lost the store must not take each other's word.
     assert not found.peers.asked
+    # Many hosts that lost the store ask at once; a store that is away is asked once.
+    assert len(store.calls) == 1
+    assert found.handle_confirm("x", ConfirmConfiguration()).age_s is None
+    assert len(store.calls) == 1
+    found.store_retry_at = -math.inf
     store.is_away = False
-    assert found.handle_confirm("x", ConfirmConfiguration()).age_s < 5.0
+    store.delay_s = 0.02
+    asking = [
+        gevent.spawn(found.handle_confirm, "x", ConfirmConfiguration())
+        for _ in range(20)
+    ]
+    assert all(item.get(timeout=10).age_s < 5.0 for item in asking)
+    assert len(store.calls) == 2
 
 
 # Whole hosts on stand-ins of the platform.
@@ -325,6 +336,24 @@
         assert fleet.replicas[0].runs[-1]["path"] == "/order/x?q=secret-q"
 
 
+def test_a_key_in_a_trailer_neither_counts_nor_reaches_a_replica(
+    fleet: GatewayFleet,
+) -> None:
+    """Guards against headers after the body that replace those before it."""
+    connection = OpenConnection(fleet)
+    lines = ["POST /order/x HTTP/1.1", "Host: fleet.example", "Request-Id: t1"]
+    lines += ["Transfer-Encoding: chunked", "Trailer: Authorization", "", "2", "{}"]
+    lines += ["0", "Authorization: Bearer secret-k2", "Tenant: south", "", ""]
+    lines.insert(1, "Authorization: Bearer secret-k1")
+    connection.sock.sendall("\r\n".join(lines).encode())
+    assert read_reply(connection.sock).status == 200
+    run = last_run(fleet)
+    assert run["HTTP_TENANT"] == "north"
+    assert "secret-k" not in repr(fleet.replicas[0].runs)
+    assert connection.send("secret-k2").status == 200
+    assert last_run(fleet)["HTTP_TENANT"] == "south"
+
+
 def test_two_keys_in_one_request_are_rejected(fleet: GatewayFleet) -> None:
     """Guards against a request that two servers count for two workspaces."""
     reply = fleet.send(
