--- a/src/filbertyard/gateway/entry.py
+++ b/src/filbertyard/gateway/entry.py
@@ -312,14 +312,14 @@
         access = self.access_policy.decide(
             configuration, route, request.key_digest, self.confirmer.age_s()
         )
+        if (
+            access.verdict == "unconfirmed"
+            and not is_confirmed
+            and self.confirmer.confirm(access.max_age_s)
+        ):
+            # The route may have changed with the configuration, too.
+            return self.serve(request, handler, start_response, is_confirmed=True)
         if access.verdict != "allowed":
-            if access.verdict == "unconfirmed" and not is_confirmed:
-                is_confirmed = self.confirmer.confirm(access.max_age_s)
-                if is_confirmed:
-                    # The route may have changed with the configuration, too.
-                    return self.serve(
-                        request, handler, start_response, is_confirmed=True
-                    )
             return self.reject_access(request, configuration, access, start_response)
         service = self.choose_service(route)
         delivery = Delivery(
