Give large responses of the store time while they arrive

A call of the store had 1 s for its whole response. A configuration of 1,600 routes is 527 KB there, 0.84 s of an access link of 5 Mbit/s (calculated), and one of 3,200 routes could not be read over such a link at all.

A response that arrives at 128 KiB/s or faster now moves its deadline on: each byte of its body adds the time that it takes at this rate. Calls of engines and other peers keep their limit.

The new cases of tests/test_readlimits.py use a parameter that did not exist before; a body that takes 1.0 s with a timeout of 0.5 s is read whole, one that stops is given up.

--- a/src/filbertyard/httpcalls.py
+++ b/src/filbertyard/httpcalls.py
@@ -120,7 +120,8 @@
 
     `deadline` on the monotonic clock bounds the reading of the whole body. `sock` is
     its connection, which is in the pool again once the body is complete;
-    `is_first` tells that it carried no response before.
+    `is_first` tells that it carried no response before. Each byte of the body that
+    arrives moves the deadline by `seconds_per_byte`.
     """
 
     status: int
@@ -130,6 +131,7 @@
     deadline: float | None = None
     sock: Any = field(default=None, repr=False)
     is_first: bool = True
+    seconds_per_byte: float = 0.0
 
     def header(self, name: str, default: str = "") -> str:
         """Return the first header `name`."""
@@ -218,7 +220,11 @@
                         raise TimeoutError("the deadline passed")
                     sock.settimeout(remaining_s)
                 received = sock.recv(READ_BLOCK_BYTES)
+                known_bytes = raw.body_bytes
                 raw.feed(received)
+                if self.deadline is not None:
+                    new_bytes = raw.body_bytes - known_bytes
+                    self.deadline += new_bytes * self.seconds_per_byte
                 if not received and not raw.message_complete:
                     raise UpstreamError(
                         "connection closed before the end of the response",
@@ -467,9 +473,15 @@
         headers: Mapping[str, str] | None = None,
         *,
         timeout_s: float | None = None,
+        min_bytes_per_s: float | None = None,
     ) -> tuple[HttpResponse, bytes]:
-        """Send one request and return the response and its whole body."""
+        """Send one request and return the response and its whole body.
+
+        With `min_bytes_per_s`, a body that arrives at this rate at least may take
+        longer than the timeout.
+        """
         limit = timeout_s if timeout_s is not None else self.timeout_s
+        started = time.monotonic()
         timeout = gevent.Timeout(
             limit,
             UpstreamError(
@@ -481,12 +493,11 @@
         )
         with timeout:
             response = self.request(method, path, body, headers, timeout_s=limit)
-            try:
-                data = response.read()
-            except BaseException:
-                response.close()
-                raise
-        return response, data
+            if min_bytes_per_s is None:
+                return response, read_or_close(response)
+        response.deadline = started + limit
+        response.seconds_per_byte = 1 / min_bytes_per_s
+        return response, read_or_close(response)
 
     def parse_json(self, response: HttpResponse, data: bytes) -> Any:
         """Return the parsed body; raise UpstreamError if it is not JSON."""
@@ -506,6 +517,15 @@
         self.client.close()
 
 
+def read_or_close(response: HttpResponse) -> bytes:
+    """Return the whole body of a response; close its connection on failure."""
+    try:
+        return response.read()
+    except BaseException:
+        response.close()
+        raise
+
+
 def encode_head(
     method: str, path: str, host: str, headers: Mapping[str, str], body: bytes
 ) -> bytes:
--- a/src/filbertyard/platform/store.py
+++ b/src/filbertyard/platform/store.py
@@ -41,6 +41,10 @@
 STORE_ERA = "Store-Era"
 FIRST_ERA = 1
 
+# A response that arrives at this rate at least may take longer than the timeout. It is
+# a fifth of an access link of 5 Mbit/s, which other streams use too.
+MIN_RESPONSE_BYTES_PER_S = 128 * 1024
+
 JSON_HEADERS = {"Content-Type": "application/json"}
 
 # The store ends a waiting watch request after at most this time.
@@ -90,7 +94,12 @@
         body = b"" if value is None else json.dumps(value).encode()
         try:
             response, received = self.peer.exchange(
-                method, path, body, JSON_HEADERS, timeout_s=timeout_s
+                method,
+                path,
+                body,
+                JSON_HEADERS,
+                timeout_s=timeout_s,
+                min_bytes_per_s=MIN_RESPONSE_BYTES_PER_S,
             )
             self.record_era(response.header(STORE_ERA), name)
             data = self.peer.parse_json(response, received)
--- a/tests/test_readlimits.py
+++ b/tests/test_readlimits.py
@@ -8,9 +8,11 @@
 from collections.abc import Callable
 from collections.abc import Iterator
 from contextlib import contextmanager
+from typing import Any
 
 import gevent
 import pytest
+from gevent.server import StreamServer
 
 from filbertyard.exceptions import UpstreamError
 from filbertyard.gateway.sending import MAX_STREAM_BYTES
@@ -20,6 +22,7 @@
 from filbertyard.peers import LinkFaults
 from filbertyard.peers import Traffic
 from filbertyard.platform.standins import SIGNED_HEAD
+from filbertyard.platform.store import MIN_RESPONSE_BYTES_PER_S
 from filbertyard.readlimits import READ_SHARE
 from filbertyard.readlimits import ReadScheduler
 from gatewayfleet import GatewayFleet
@@ -196,3 +199,40 @@
     scheduler.turn.acquire()
     with gevent.Timeout(10.0):
         scheduler.pause(1.0, 0.01)
+
+
+PART = b"x" * 32768
+
+
+def serve_slowly(parts: int, gap_s: float) -> StreamServer:
+    """Return a server that sends a body in parts and then nothing more."""
+
+    def answer(sock: Any, address: Any) -> None:
+        sock.recv(65536)
+        length = 10 * len(PART)
+        sock.sendall(f"HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n".encode())
+        for _ in range(parts):
+            gevent.sleep(gap_s)
+            sock.sendall(PART)
+        gevent.sleep(30.0)
+
+    server = StreamServer(("127.0.0.1", 0), answer)
+    server.start()
+    return server
+
+
+@pytest.mark.parametrize(("parts", "is_whole"), [(10, True), (9, False)])
+def test_a_large_response_may_take_longer_than_its_timeout_while_it_arrives(
+    parts: int, is_whole: bool
+) -> None:
+    """Regression: 527 KB from the store fill a link of 5 Mbit/s for 0.84 of 1 s."""
+    server = serve_slowly(parts, gap_s=0.1)
+    peer = create_http_peer(f"127.0.0.1:{server.server_port}", timeout_s=0.5)
+    try:
+        with pytest.raises(UpstreamError) if not is_whole else gevent.Timeout(20.0):
+            _, body = peer.exchange(
+                "GET", "/", min_bytes_per_s=MIN_RESPONSE_BYTES_PER_S
+            )
+            assert len(body) == 10 * len(PART)
+    finally:
+        server.stop()
