Bring large configurations to all hosts without filling the hubs' links

The two feed hubs of each zone sent the whole value, about 395 KB, to each of 15 to 18 other hosts over links of 10 Mbit/s. Heartbeats and renewals of leases waited behind it: 350 peer_recovered within 5.5 s, hubs taken for lost, and others in their place that read and pushed the same value again.

Values of 4 KiB and more are now compressed in messages between hosts (24 KB for these routes). If all copies of a push still exceed 256 KiB, which the slowest link carries in 0.4 s, some recipients pass it on to the others; smaller pushes go to each host directly, as before. A fetch that fails gets twice the time, up to 4 s. Of several values of one key in a response to a watch only the newest is applied.

--- a/src/filbertyard/gateway/fleet.py
+++ b/src/filbertyard/gateway/fleet.py
@@ -20,7 +20,6 @@
 from .hubs import is_hub_for
 from .hubs import watches_store
 from .messages import Digest
-from .messages import FeedPush
 from .messages import Roster
 from .rosters import RosterReader
 from .rosters import RosterWriter
@@ -281,10 +280,6 @@
         """Send a message to the spokes of this hub."""
         self.send(self.spokes(), message)
 
-    def push_feed_to_zone(self, push: FeedPush) -> None:
-        """Send changes of a feed to the other hosts of the zone."""
-        self.send(self.expected_zone_peers(), push)
-
     def send(self, hosts: set[str] | dict[str, bool], message: Message) -> None:
         """Send a message without a reply; a failure shows as missing heartbeats."""
         for host in hosts:
--- a/src/filbertyard/gateway/host.py
+++ b/src/filbertyard/gateway/host.py
@@ -34,6 +34,7 @@
 from .messages import AdmissionRejected
 from .messages import AdmissionRequest
 from .messages import Digest
+from .messages import FeedPush
 from .messages import Finished
 from .messages import FirstEvent
 from .owner import ReplicaOwner
@@ -152,7 +153,7 @@
                 watch_waits.get(feed.prefix, WATCH_WAIT_S),
                 batch_intervals[feed.prefix],
                 self.fleet.watches_store,
-                self.fleet.push_feed_to_zone,
+                self.push_feed_to_zone,
             )
             for feed in self.state.feed_list()
         ]
@@ -230,6 +231,10 @@
             {prefix: feed.revision for prefix, feed in self.state.feeds.items()},
         )
 
+    def push_feed_to_zone(self, push: FeedPush) -> None:
+        """Send changes of a feed to the other hosts of the zone."""
+        self.sync.send_push(self.fleet.expected_zone_peers(), push)
+
     def is_connected(self) -> bool:
         """Tell if the store answers this host, also one that watches no feed."""
         watching = [item for item in self.watchers if not item.is_suspended]
--- a/src/filbertyard/gateway/hubs.py
+++ b/src/filbertyard/gateway/hubs.py
@@ -11,6 +11,7 @@
 
 from collections.abc import Iterable
 from collections.abc import Mapping
+from collections.abc import Sequence
 
 import xxhash
 
@@ -23,6 +24,14 @@
 HUBS_PER_ZONE = 3
 HUBS_PER_HOST = 2
 
+# What a host sends of one change of a feed. An access link of 5 Mbit/s, the slowest
+# that the platform gives to a host, carries it in 0.4 s.
+MAX_PUSH_BYTES = 256 * 1024
+
+# Recipients of a push that is passed on. With one, a lost host would cut off all
+# others.
+MIN_PUSH_BRANCHES = 2
+
 # Up to this many hosts send each other everything directly: with several hubs in each
 # zone, few messages would be saved.
 MAX_MESH_HOSTS = 16
@@ -50,6 +59,20 @@
     return host in select_feed_hubs(connected or hosts)
 
 
+def plan_push(hosts: Sequence[str], size: int) -> dict[str, list[str]]:
+    """Return the hosts to send a change to, each with those that it passes it on to.
+
+    A change of `size` bytes goes directly to all hosts while that fits MAX_PUSH_BYTES.
+    """
+    branches = len(hosts)
+    if size * branches > MAX_PUSH_BYTES:
+        branches = min(branches, max(MIN_PUSH_BRANCHES, MAX_PUSH_BYTES // size))
+    return {
+        hosts[number]: list(hosts[number + branches :: branches])
+        for number in range(branches)
+    }
+
+
 def select_hubs(hosts: Iterable[str]) -> list[str]:
     """Return the hubs among the live hosts of a zone."""
     # All hosts of a fleet must hash with the same keys, "relay" and "speaker".
--- a/src/filbertyard/gateway/messages.py
+++ b/src/filbertyard/gateway/messages.py
@@ -59,7 +59,7 @@
 @message("gateway_feed_part")
 @dataclass(slots=True)
 class FeedChanges(Message):
-    """Reply to `FetchFeed`: items [key, value, revision], removals [key, revision].
+    """Reply to `FetchFeed`: items as in `feedrows`, removals [key, revision].
 
     `store_failure_age_s` is read by older hosts only. `kept_s` has the removed replicas
     that the sender still uses because their entries may have expired in an outage.
@@ -79,6 +79,7 @@
     """Push changes of a feed to the hosts of a zone; fields as in `FeedChanges`.
 
     The changes follow the revision `since`; a host that is behind it missed some.
+    The recipient passes a large change on to the hosts in `onward`.
     """
 
     prefix: str
@@ -86,6 +87,7 @@
     items: list[list[Any]]
     removed: list[list[Any]]
     store_failure_age_s: float = math.inf
+    onward: list[str] = field(default_factory=list)
 
 
 @message("gateway_ask")
--- a/src/filbertyard/gateway/state.py
+++ b/src/filbertyard/gateway/state.py
@@ -18,6 +18,7 @@
 from ..keyvalue import first_revision
 from ..keyvalue import generation_of
 from ..logs import log_event
+from .feedrows import RowEncoder
 from .quarantine import Quarantine
 from .rejections import DocumentRejections
 from .types import AdapterName
@@ -57,6 +58,7 @@
         self.revision = 0
         self.generation = 0
         self.has_snapshot = False
+        self.encoder = RowEncoder()
 
     def begin_generation(self, generation: int) -> None:
         """Ignore changes from before a loss; tell other hosts of it by the revision."""
@@ -86,6 +88,7 @@
         if self.removed.get(key, 0) >= revision:
             return False
         self.items.pop(key, None)
+        self.encoder.forget(key)
         self.removed[key] = revision
         while len(self.removed) > MAX_REMOVALS:
             del self.removed[next(iter(self.removed))]
@@ -251,6 +254,7 @@
                 logger,
                 "configuration_in_force",
                 version=self.configuration.version,
+                routes=len(self.configuration.routes),
                 revision=item.mod_revision,
                 source=source,
             )
--- a/src/filbertyard/gateway/sync.py
+++ b/src/filbertyard/gateway/sync.py
@@ -6,6 +6,8 @@
 import math
 import time
 from collections.abc import Callable
+from collections.abc import Collection
+from dataclasses import replace
 from typing import Any
 
 import gevent
@@ -14,11 +16,14 @@
 from ..backoff import Backoff
 from ..exceptions import FilbertyardError
 from ..exceptions import RevisionCompactedError
-from ..keyvalue import Item
 from ..keyvalue import KeyValue
 from ..keyvalue import WatchEvent
 from ..logs import log_event
 from ..peers import PeerNetwork
+from .feedrows import decode_row
+from .feedrows import rows_size
+from .hubs import plan_push
+from .hubs import rendezvous_order
 from .messages import FeedChanges
 from .messages import FeedPush
 from .messages import FetchFeed
@@ -54,7 +59,15 @@
 # A change that a peer knows is fetched from it if it does not arrive within this time.
 FETCH_DELAY_S = 0.15
 
+# Time limit of a fetch, doubled after each failed one of the same feed: a reply that
+# was too large for the link would be sent again and again otherwise.
 FETCH_TIMEOUT_S = 1.0
+MAX_FETCH_TIMEOUT_S = 4.0
+
+
+# Pushes from this size on are logged. A fleet's own records, all at once at its start,
+# are about 5 KB.
+MIN_LOGGED_PUSH_BYTES = 16 * 1024
 
 
 class FeedWatcher:
@@ -131,11 +144,11 @@
         feed = self.feed
         since = feed.revision
         items, removed = [], []
-        for event in events:
+        for event in newest_events(events):
             item = event.item
             if event.kind == "put":
                 if self.state.apply_item(feed, item, now, "store"):
-                    items.append([item.key, item.value, item.mod_revision])
+                    items.append(feed.encoder.encode(item))
             elif self.state.apply_removal(
                 feed, item.key, item.mod_revision, now, "store"
             ):
@@ -172,6 +185,18 @@
         self.is_connected = False
 
 
+def newest_events(events: list[WatchEvent]) -> list[WatchEvent]:
+    """Return events without the values that a later one of them replaces."""
+    found: list[WatchEvent] = []
+    replaced: set[str] = set()
+    for event in reversed(events):
+        if event.kind == "delete" or event.item.key not in replaced:
+            found.append(event)
+        if event.kind == "put":
+            replaced.add(event.item.key)
+    return found[::-1]
+
+
 class PeerSync:
     """Fetch from peers the changes that this host does not get from the store."""
 
@@ -181,6 +206,7 @@
         self.behind_since: dict[str, tuple[int, float]] = {}
         self.spawn: Callable[..., object] = gevent.spawn
         self.fetching: set[str] = set()
+        self.fetch_timeouts_s: dict[str, float] = {}
         peers.handle(FetchFeed, self.handle_fetch)
         peers.handle(FeedPush, self.handle_push)
 
@@ -203,14 +229,17 @@
 
     def fetch(self, peer: str, feed: Feed) -> bool:
         """Fetch the changes that a peer knows; tell if it answered."""
+        timeout_s = self.fetch_timeouts_s.get(feed.prefix, FETCH_TIMEOUT_S)
         try:
             result = self.peers.call(
-                peer, FetchFeed(feed.prefix, feed.revision), FETCH_TIMEOUT_S
+                peer, FetchFeed(feed.prefix, feed.revision), timeout_s
             )
         finally:
             self.fetching.discard(feed.prefix)
         if isinstance(result, Err) or not isinstance(result.ok_value, FeedChanges):
+            self.fetch_timeouts_s[feed.prefix] = min(2 * timeout_s, MAX_FETCH_TIMEOUT_S)
             return False
+        self.fetch_timeouts_s.pop(feed.prefix, None)
         self.state.begin_generation(feed, result.ok_value.revision, time.monotonic())
         self.apply_changes(peer, feed, result.ok_value)
         # Changes that a push brought before are not applied again, so that they do not
@@ -224,13 +253,11 @@
         """Apply changes of a feed that a peer sent."""
         now = time.monotonic()
         for row in changes.items:
-            match row:
-                case [str(key), bytes(value), int(revision)]:
-                    self.state.apply_item(
-                        feed, Item(key, value, 0, revision), now, peer
-                    )
-                case _:
-                    self.reject_row(peer, feed, row)
+            item = decode_row(row)
+            if item is not None:
+                self.state.apply_item(feed, item, now, peer)
+            else:
+                self.reject_row(peer, feed, row)
         # A push has only what a watch reported.
         kept_s = changes.kept_s if isinstance(changes, FeedChanges) else {}
         for row in changes.removed:
@@ -247,8 +274,28 @@
         cause = f"unknown form of a change: {ascii(row)[:80]}"
         self.state.rejections.record(f"{feed.prefix} of {peer}", cause)
 
+    def send_push(self, hosts: Collection[str], push: FeedPush) -> None:
+        """Send changes of a feed to hosts, some of which pass a large one on."""
+        size = rows_size(push.items)
+        # Each sender has an order of its own, so that a lost host that should pass a
+        # change on is hardly ever such a host for both feed hubs.
+        plan = plan_push(rendezvous_order(self.peers.host, hosts), size)
+        if size >= MIN_LOGGED_PUSH_BYTES:
+            log_event(
+                logger,
+                "feed_change_sent",
+                feed=push.prefix,
+                bytes=size,
+                hosts=len(hosts),
+                directly=len(plan),
+            )
+        for host, onward in plan.items():
+            gevent.spawn(self.peers.send_one_way, host, replace(push, onward=onward))
+
     def handle_push(self, peer: str, push: FeedPush) -> None:
         """Apply changes that a feed hub pushed."""
+        if push.onward:
+            self.send_push(push.onward, push)
         feed = self.state.feeds.get(push.prefix)
         if feed is None:
             return
@@ -283,7 +330,7 @@
         kept_s = {key: self.state.kept_s(key, now) for key in removed}
         return FeedChanges(
             [
-                [item.key, item.value, item.mod_revision]
+                feed.encoder.encode(item)
                 for item in feed.items.values()
                 if item.mod_revision > after
             ],
