Answer 503 in place of 404 while a host may be behind

A host that had not received a new version yet told callers that its routes do not exist, also when it knew from a peer that it was behind, or when neither the store nor a peer had confirmed its configuration for long.

Each answer of the store to a watch now confirms the revision of the operator's feed, and digests and rosters tell how long ago that was.

--- a/src/filbertyard/gateway/entry.py
+++ b/src/filbertyard/gateway/entry.py
@@ -74,6 +74,9 @@
 # Retry-After where no better value is known.
 DEFAULT_RETRY_AFTER_S = 0.5
 
+# A host that is behind fetches the newest configuration within about this time.
+OUTDATED_RETRY_AFTER_S = 0.5
+
 # A host that has just started reads the configuration within this time.
 UNCONFIGURED_RETRY_AFTER_S = 1.0
 
@@ -280,6 +283,15 @@
             )
         path = request.target.partition("?")[0]
         route = configuration.find_route(request.host, path)
+        if route is None and not self.state.is_configuration_current(request.arrived):
+            # The newest configuration may have the route.
+            return self.reject_unrouted(
+                start_response,
+                503,
+                request.id,
+                "configuration may be outdated",
+                OUTDATED_RETRY_AFTER_S,
+            )
         if route is None:
             log_event(
                 logger,
--- a/src/filbertyard/gateway/fleet.py
+++ b/src/filbertyard/gateway/fleet.py
@@ -78,7 +78,7 @@
         zone: str,
         seeds: tuple[str, ...],
         describe: Callable[[], Digest],
-        compare_revisions: Callable[[str, dict[str, int], float], None],
+        compare_revisions: Callable[[str, dict[str, int], float, float], None],
         on_restart: Callable[[str], None],
     ) -> None:
         self.peers = peers
@@ -341,7 +341,7 @@
         now = time.monotonic()
         self.record_heartbeat(digest, now)
         self.members[peer].last_message_at = now
-        self.compare_revisions(peer, digest.revisions, now)
+        self.compare_revisions(peer, digest.revisions, now, digest.confirmed_age_s)
 
     def handle_roster(self, peer: str, roster: Roster) -> None:
         """Record what a hub sends about all hosts."""
@@ -354,7 +354,7 @@
                 self.record_heartbeat(digest, now - age_s)
         if peer in self.members:
             self.members[peer].last_message_at = now
-        self.compare_revisions(peer, roster.revisions, now)
+        self.compare_revisions(peer, roster.revisions, now, roster.confirmed_age_s)
 
     def record_heartbeat(self, digest: Digest, at: float) -> None:
         """Record a heartbeat as of `at`, unless a newer one is known."""
--- a/src/filbertyard/gateway/host.py
+++ b/src/filbertyard/gateway/host.py
@@ -229,6 +229,7 @@
             self.is_leaving,
             self.is_connected(),
             {prefix: feed.revision for prefix, feed in self.state.feeds.items()},
+            self.state.confirmation.age_s(time.monotonic()),
         )
 
     def push_feed_to_zone(self, push: FeedPush) -> None:
--- a/src/filbertyard/gateway/messages.py
+++ b/src/filbertyard/gateway/messages.py
@@ -17,7 +17,8 @@
     """Heartbeat of a host, with the revision of each feed that it knows.
 
     `callers` is its address for callers; `is_connected` tells that it watches the store
-    and the store responds.
+    and the store responds. `confirmed_age_s` is the time since the store confirmed the
+    revision of the operator's feed.
     """
 
     host: str
@@ -27,6 +28,7 @@
     is_leaving: bool
     is_connected: bool
     revisions: dict[str, int]
+    confirmed_age_s: float = math.inf
 
 
 @message("gateway_roster")
@@ -34,7 +36,8 @@
 class Roster(Message):
     """List the hosts that a hub knows, with the ages of their heartbeats.
 
-    A row has the fields of a `Digest` except for the revisions, which are the hub's.
+    A row has the fields of a `Digest` except for the revisions and the age of their
+    confirmation, which are the hub's.
     With `zone` the list has only the hosts of that availability zone.
     `rows` is empty while the list with this `number` is unchanged; `ages` has one byte
     per row, in tenths of a second, 255 for a silent host.
@@ -45,6 +48,7 @@
     ages: bytes
     revisions: dict[str, int]
     zone: str = ""
+    confirmed_age_s: float = math.inf
 
 
 @message("gateway_fetch_feed")
--- a/src/filbertyard/gateway/rosters.py
+++ b/src/filbertyard/gateway/rosters.py
@@ -52,7 +52,12 @@
         ]
         is_full = self.full_at == now
         return Roster(
-            self.number, rows if is_full else [], bytes(ages), own.revisions, self.zone
+            self.number,
+            rows if is_full else [],
+            bytes(ages),
+            own.revisions,
+            self.zone,
+            own.confirmed_age_s,
         )
 
 
--- a/src/filbertyard/gateway/state.py
+++ b/src/filbertyard/gateway/state.py
@@ -18,6 +18,7 @@
 from ..keyvalue import first_revision
 from ..keyvalue import generation_of
 from ..logs import log_event
+from .confirmation import RevisionConfirmation
 from .feedrows import RowEncoder
 from .quarantine import Quarantine
 from .rejections import DocumentRejections
@@ -107,6 +108,7 @@
         self.gateway_feed = Feed(GATEWAY_PREFIX)
         self.feeds = {feed.prefix: feed for feed in self.feed_list()}
         self.configuration: Configuration | None = None
+        self.confirmation = RevisionConfirmation()
         self.releases: dict[AdapterName, int] = {}
         self.replicas: dict[str, Replica] = {}
         self.kept_until: dict[str, float] = {}
@@ -124,6 +126,26 @@
         """Tell if routes and replicas are known."""
         return self.configuration is not None and self.replica_feed.has_snapshot
 
+    def is_configuration_current(self, now: float) -> bool:
+        """Tell if the newest configuration that may be in force is known here.
+
+        A host that may be behind must not tell a caller that a route or an API key does
+        not exist.
+        """
+        return self.confirmation.is_current(self.operator_feed.revision, now)
+
+    def record_store_answer(self, feed: Feed, now: float) -> None:
+        """Record that all changes of a feed that the store had are applied."""
+        if feed is self.operator_feed:
+            self.confirmation.record_store(now)
+
+    def record_peer_revision(
+        self, feed: Feed, revision: int, confirmed_at: float
+    ) -> None:
+        """Record a peer's revision of a feed and when the store confirmed it."""
+        if feed is self.operator_feed:
+            self.confirmation.record_peer(revision, feed.revision, confirmed_at)
+
     def feed_list(self) -> list[Feed]:
         """Return the feeds."""
         return [self.operator_feed, self.replica_feed, self.gateway_feed]
--- a/src/filbertyard/gateway/sync.py
+++ b/src/filbertyard/gateway/sync.py
@@ -127,12 +127,14 @@
             is_after_outage=is_after_outage,
         )
         self.has_snapshot = True
+        self.state.record_store_answer(self.feed, time.monotonic())
         if not self.should_watch():
             return
         changes = self.store.watch(self.feed.prefix, found.revision + 1, self.wait_s)
         for events in changes:
             self.record_connected()
             self.apply_events(events)
+            self.state.record_store_answer(self.feed, time.monotonic())
             if not self.should_watch():
                 return
             if events:
@@ -211,12 +213,22 @@
         peers.handle(FeedPush, self.handle_push)
 
     def compare_revisions(
-        self, peer: str, revisions: dict[str, int], now: float
+        self,
+        peer: str,
+        revisions: dict[str, int],
+        now: float,
+        confirmed_age_s: float = math.inf,
     ) -> None:
-        """Compare a peer's revisions with those known here; fetch what is missing."""
+        """Compare a peer's revisions with those known here; fetch what is missing.
+
+        `confirmed_age_s` is as in `Digest`.
+        """
         for prefix, revision in revisions.items():
             feed = self.state.feeds.get(prefix)
-            if feed is None or revision <= feed.revision:
+            if feed is None:
+                continue
+            self.state.record_peer_revision(feed, revision, now - confirmed_age_s)
+            if revision <= feed.revision:
                 # This peer has nothing new; others may still be ahead of this host.
                 continue
             known, since = self.behind_since.get(prefix, (0, now))
--- a/tests/test_gateway_fleet.py
+++ b/tests/test_gateway_fleet.py
@@ -80,7 +80,7 @@
             zone=self.zone,
             seeds=(),
             describe=self.digest,
-            compare_revisions=lambda peer, revisions, now: None,
+            compare_revisions=lambda *arguments: None,
             on_restart=self.restarted.append,
         )
         self.fleet.send = lambda hosts, message: [
