--- a/src/filbertyard/gateway/fleet.py
+++ b/src/filbertyard/gateway/fleet.py
@@ -21,7 +21,6 @@
 from .hubs import rendezvous_order
 from .hubs import watches_store
 from .messages import Digest
-from .messages import FeedPush
 from .messages import Roster
 from .rosters import RosterReader
 from .rosters import RosterWriter
@@ -80,7 +79,7 @@
         zone: str,
         seeds: tuple[str, ...],
         describe: Callable[[], Digest],
-        compare_revisions: Callable[[str, dict[str, int], float], None],
+        compare_revisions: Callable[[str, dict[str, int], float, float], None],
         on_restart: Callable[[str], None],
     ) -> None:
         self.peers = peers
@@ -294,10 +293,6 @@
         """Send a message to the spokes of this hub."""
         self.send(self.spokes(), message)
 
-    def push_feed_to_zone(self, push: FeedPush) -> None:
-        """Send changes of a feed to the other hosts of the zone."""
-        self.send(self.expected_zone_peers(), push)
-
     def send(self, hosts: set[str] | dict[str, bool], message: Message) -> None:
         """Send a message without a reply; a failure shows as missing heartbeats."""
         for host in hosts:
@@ -359,7 +354,7 @@
         now = time.monotonic()
         self.record_heartbeat(digest, now)
         self.members[peer].last_message_at = now
-        self.compare_revisions(peer, digest.revisions, now)
+        self.compare_revisions(peer, digest.revisions, now, digest.confirmed_age_s)
 
     def handle_roster(self, peer: str, roster: Roster) -> None:
         """Record what a hub sends about all hosts."""
@@ -372,7 +367,7 @@
                 self.record_heartbeat(digest, now - age_s)
         if peer in self.members:
             self.members[peer].last_message_at = now
-        self.compare_revisions(peer, roster.revisions, now)
+        self.compare_revisions(peer, roster.revisions, now, roster.confirmed_age_s)
 
     def record_heartbeat(self, digest: Digest, at: float) -> None:
         """Record a heartbeat as of `at`, unless a newer one is known."""
