Share engines among the workspaces of a rank

Callers of small workspaces waited behind everything that one workspace had sent before: within a rank an engine's queue knew arrival only.

Workspaces of one rank now take turns by the tokens that they use (start-time fair queueing), weighted by their quotas; a workspace alone gets everything. The estimate of the wait is behind one's own turn, so that a flood is rejected at once and the others are not. The wait for an adapter's load follows the same order, requests beyond a workspace's share count less in the frequencies that keep adapters resident, and permits of rate-limited replicas are shared alike. While the next request waits for KV memory, those of other workspaces may overtake it up to its own size.

--- a/src/filbertyard/gateway/adapterplan.py
+++ b/src/filbertyard/gateway/adapterplan.py
@@ -115,9 +115,11 @@
         self.load_interval_s = INITIAL_LOAD_INTERVAL_S
         self.last_load_at = float("-inf")
 
-    def record_request(self, name: AdapterName, now: float) -> None:
-        """Count a request for an adapter."""
-        value = self.frequency(name, now) + 1.0
+    def record_request(
+        self, name: AdapterName, now: float, weight: float = 1.0
+    ) -> None:
+        """Count a request for an adapter; `weight` as in `DemandShares.record`."""
+        value = self.frequency(name, now) + weight
         self.frequencies[name] = Frequency(value, now)
         if len(self.frequencies) > TRACKED_PER_SLOT * max(1, self.slots):
             rarest = min(self.frequencies, key=lambda key: self.frequency(key, now))
--- a/src/filbertyard/gateway/admission.py
+++ b/src/filbertyard/gateway/admission.py
@@ -1,10 +1,10 @@
 """Admission control for one engine: a queue that starts, delays or rejects requests.
 
-It covers floods of requests of one rank, more prompt tokens than the engine can
-prefill, and an engine that names a rate limit. An engine serves its own queue by
-arrival within a priority, and preempts requests when it runs out of memory, which
-discards their work. So the engine gets enough requests to fill its batch, but none that
-would wait inside it.
+It covers floods of requests of one rank or one workspace, more prompt tokens than the
+engine can prefill, requests of very different sizes, and an engine that names a rate
+limit. An engine serves its own queue by arrival within a priority, and preempts
+requests when it runs out of memory, which discards their work. So the engine gets
+enough requests to fill its batch, but none that would wait inside it.
 """
 
 from __future__ import annotations
@@ -13,9 +13,10 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from dataclasses import dataclass
-from typing import Protocol
-from typing import TypeVar
 
+from .fairshare import FairShares
+from .fairshare import Weight
+from .fairshare import equal_weight
 from .ratelimits import TokenBucket
 from .types import AdapterName
 
@@ -86,7 +87,8 @@
     """One request that waits; times are on the owner's monotonic clock.
 
     It must start before `start_deadline`; once started it may run until
-    `end_deadline`.
+    `end_deadline`. `overtaken_tokens` counts the memory of those that started while
+    this one was next but did not fit.
     """
 
     id: str
@@ -99,6 +101,7 @@
     prompt_tokens: int
     output_tokens: int
     workspace: str = ""
+    overtaken_tokens: int = 0
 
     @property
     def tokens(self) -> int:
@@ -156,33 +159,9 @@
         self.token_s = min(MAX_TOKEN_COST_S, max(MIN_TOKEN_COST_S, slope))
 
 
-class Waiting(Protocol):
-    """What decides the order in which waiting requests start."""
-
-    rank: int
-    arrived: float
-    objective_at: float
-
-
-W = TypeVar("W", bound=Waiting)
-
-
-def start_order(
-    waiting: Iterable[W], starts: int, now: float, first_event_s: float = 0.0
-) -> list[W]:
-    """Return waiting requests, the next to start first, after `starts` others.
-
-    Requests that can still meet their objective, with a first event `first_event_s`
-    after their start, go before those that cannot: under overload, serving them by
-    arrival would make all of them late.
-    """
-    if starts % STARTS_PER_FIFO_START == STARTS_PER_FIFO_START - 1:
-        return sorted(waiting, key=lambda item: item.arrived)
-    first_at = now + first_event_s
-    return sorted(
-        waiting,
-        key=lambda item: (first_at > item.objective_at, item.rank, item.arrived),
-    )
+def engine_tokens(item: QueuedRequest) -> float:
+    """Return what a request counts in its workspace's share of an engine."""
+    return float(max(1, item.tokens))
 
 
 class EngineQueue:
@@ -190,7 +169,8 @@
 
     `prefill_until` is when the engine should have finished all prefill given to it: a
     leaky bucket of prefill time. `rate_bucket` holds the starts that the engine's rate
-    limit allows, None without a limit.
+    limit allows, None without a limit. `weight` returns the weight of a workspace's
+    share.
     """
 
     def __init__(
@@ -198,6 +178,7 @@
         slots: int,
         kv_tokens: int,
         max_prefill_backlog_s: float = DEFAULT_PREFILL_BACKLOG_S,
+        weight: Weight = equal_weight,
     ) -> None:
         self.slots = slots
         self.kv_tokens = kv_tokens
@@ -214,6 +195,7 @@
         self.starts = 0
         self.first_event_s = 0.0
         self.rate_bucket: TokenBucket | None = None
+        self.shares: FairShares[QueuedRequest] = FairShares(engine_tokens, weight)
 
     def set_rate_limit(self, per_s: float, now: float) -> None:
         """Limit the requests started per second; infinite for no limit."""
@@ -238,7 +220,8 @@
         self, item: QueuedRequest, now: float, is_ready: Callable[[AdapterName], bool]
     ) -> Rejection | None:
         """Add a request, or reject it if it cannot start in time."""
-        wait_s = self.wait_s(now, is_ready, item.rank)
+        self.shares.begin(item, self.waiting)
+        wait_s = self.wait_s(now, is_ready, item)
         if now + wait_s + MIN_RUN_S > item.start_deadline:
             cause = "rate_limit" if self.rate_bucket is not None else "no_time"
             return Rejection(cause, max(MIN_RETRY_AFTER_S, wait_s / 2))
@@ -249,23 +232,33 @@
         self,
         now: float,
         is_ready: Callable[[AdapterName], bool],
-        rank: int | None = None,
+        item: QueuedRequest | None = None,
     ) -> float:
-        """Estimate how long a new request of a rank waits, in seconds.
+        """Estimate how long a new request waits, in seconds.
 
-        It waits behind requests of this rank and more urgent ones, without a rank
-        behind all. Requests that wait for their adapter do not delay others.
+        It waits behind more urgent ones and those of its rank whose workspaces have
+        their turn before; without `item` behind all. Requests that wait for their
+        adapter do not delay others.
         """
-        ahead = [
-            other
-            for other in self.waiting
-            if (rank is None or other.rank <= rank) and is_ready(other.adapter)
-        ]
+        ahead = [other for other in self.waiting if is_ready(other.adapter)]
+        if item is not None:
+            ahead = self.shares.ahead(item, ahead)
         tokens = sum(other.prompt_tokens for other in ahead)
         prefill_s = max(0.0, self.prefill_until - now) + tokens * self.token_cost_s
         missing_slots = len(self.started) + len(ahead) + 1 - self.slots
         slot_s = max(0, missing_slots) * self.run_s / self.slots
-        return max(prefill_s, slot_s, self.rate_wait_s(now, len(ahead)))
+        memory_s = self.memory_wait_s(item, ahead) if item is not None else 0.0
+        return max(prefill_s, slot_s, memory_s, self.rate_wait_s(now, len(ahead)))
+
+    def memory_wait_s(
+        self, item: QueuedRequest, ahead: Iterable[QueuedRequest]
+    ) -> float:
+        """Estimate how long a workspace's request waits for KV memory behind others."""
+        if not item.workspace or not self.started:
+            return 0.0
+        limit = MEMORY_FRACTION * self.kv_tokens
+        needed = self.memory_tokens + sum(other.tokens for other in ahead) + item.tokens
+        return max(0.0, needed - limit) * self.run_s / limit
 
     def rate_wait_s(self, now: float, ahead: int = 0) -> float:
         """Return how long the rate limit delays a request behind `ahead` others."""
@@ -274,8 +267,28 @@
         return self.rate_bucket.wait_s(now, ahead + 1)
 
     def start_order(self, now: float) -> list[QueuedRequest]:
-        """Return the waiting requests, the next to start first."""
-        return start_order(self.waiting, self.starts, now, self.first_event_s)
+        """Return the waiting requests, the next to start first.
+
+        Requests that can still meet their objective go before those that cannot: under
+        overload, serving them by arrival would make all of them late.
+        """
+        if self.starts % STARTS_PER_FIFO_START == STARTS_PER_FIFO_START - 1:
+            return self.shares.oldest_first(self.waiting)
+        return self.shares.urgent_first(self.waiting, now + self.first_event_s)
+
+    def load_order(
+        self, now: float, item: QueuedRequest | None = None
+    ) -> list[QueuedRequest]:
+        """Return the waiting requests whose adapters are loaded before a new one's."""
+        if item is None or not item.workspace:
+            return self.start_order(now)
+        return self.shares.ahead(item, self.waiting)
+
+    def has_memory(self, item: QueuedRequest) -> bool:
+        """Tell if a request fits into the KV memory beside the started ones."""
+        if not self.started:
+            return True
+        return self.memory_tokens + item.tokens <= MEMORY_FRACTION * self.kv_tokens
 
     def has_room(self, item: QueuedRequest, now: float) -> bool:
         """Tell if a request could start now without waiting inside the engine."""
@@ -283,8 +296,7 @@
             return False
         if not self.started:
             return True
-        memory = self.memory_tokens + item.tokens
-        if memory > MEMORY_FRACTION * self.kv_tokens:
+        if not self.has_memory(item):
             return False
         backlog_s = self.prefill_until - now
         own_s = item.prompt_tokens * self.token_cost_s
@@ -293,24 +305,42 @@
     def start_next(
         self, now: float, is_ready: Callable[[AdapterName], bool]
     ) -> QueuedRequest | None:
-        """Start the next request whose adapter is ready, if there is room."""
+        """Start the next request whose adapter is ready, if there is room.
+
+        While the next one waits for KV memory, requests of other workspaces that fit
+        may overtake it, up to its own size in total: a large request neither blocks the
+        others nor is overtaken for ever.
+        """
+        blocked: QueuedRequest | None = None
         for item in self.start_order(now):
             if not is_ready(item.adapter):
                 continue
+            if blocked is not None and not may_overtake(item, blocked):
+                continue
             if not self.has_room(item, now):
+                if blocked is None and not self.has_memory(item):
+                    blocked = item
+                    continue
                 return None
-            if self.rate_bucket is not None:
-                self.rate_bucket.take(now)
-            self.waiting.remove(item)
-            self.starts += 1
-            backlog_s = max(0.0, self.prefill_until - now)
-            tokens_ahead = int(backlog_s / self.token_cost_s)
-            self.started[item.id] = StartedRequest(item, now, tokens_ahead)
-            own_s = item.prompt_tokens * self.token_cost_s
-            self.prefill_until = now + backlog_s + own_s / self.prefill_duty
+            if blocked is not None:
+                blocked.overtaken_tokens += item.tokens
+            self.start(item, now)
             return item
         return None
 
+    def start(self, item: QueuedRequest, now: float) -> None:
+        """Start a waiting request."""
+        if self.rate_bucket is not None:
+            self.rate_bucket.take(now)
+        self.waiting.remove(item)
+        self.shares.charge(item)
+        self.starts += 1
+        backlog_s = max(0.0, self.prefill_until - now)
+        tokens_ahead = int(backlog_s / self.token_cost_s)
+        self.started[item.id] = StartedRequest(item, now, tokens_ahead)
+        own_s = item.prompt_tokens * self.token_cost_s
+        self.prefill_until = now + backlog_s + own_s / self.prefill_duty
+
     def record_first_event(self, request_id: str, now: float) -> None:
         """Update the prefill cost and the late starts with a request's first event."""
         item = self.started.get(request_id)
@@ -388,6 +418,13 @@
         ]
 
 
+def may_overtake(item: QueuedRequest, blocked: QueuedRequest) -> bool:
+    """Tell if a request may start before one that waits for KV memory."""
+    if item.workspace == blocked.workspace:
+        return False
+    return blocked.overtaken_tokens + item.tokens <= blocked.tokens
+
+
 def max_prefill_backlog_s(max_event_gap_s: float, event_tokens: int) -> float:
     """Return how much prefill may be queued at an engine for a maximum event gap."""
     if max_event_gap_s <= 0:
--- a/src/filbertyard/gateway/host.py
+++ b/src/filbertyard/gateway/host.py
@@ -27,6 +27,7 @@
 from .claimtable import ClaimTable
 from .directory import DirectoryApplication
 from .entry import EntryApplication
+from .fairshare import WorkspaceWeights
 from .fleet import Fleet
 from .grace import plan_grace_period
 from .loads import LoadTable
@@ -96,6 +97,7 @@
         self.peers = PeerNetwork(
             self.id, self.instance, settings.peers, settings.peer_key, lambda host: host
         )
+        self.workspace_weight = WorkspaceWeights(lambda: self.state.configuration)
         self.sync = PeerSync(self.state, self.peers)
         self.claim_table = ClaimTable(settings.bounds.order_gap_s)
         self.fleet = Fleet(
@@ -303,6 +305,7 @@
             publish_interval=self.loads.publish_interval_s,
             rate_limits=self.rate_limits,
             metrics=self.metrics,
+            weight=self.workspace_weight,
         )
         self.owned[replica_id] = owner
         owner.start()
--- a/src/filbertyard/gateway/messages.py
+++ b/src/filbertyard/gateway/messages.py
@@ -230,7 +230,8 @@
     """Ask to send a request to one of several rate-limited replicas of a service.
 
     The reply may take `wait_s`; without that time it tells whether a permit is there
-    now. `rate_limits` is what the asking host knows of these replicas.
+    now. `rate_limits` is what the asking host knows of these replicas. `workspace`
+    names the caller's workspace, empty for none.
     """
 
     request_id: str
@@ -239,6 +240,7 @@
     objective_s: float
     wait_s: float
     rate_limits: list[list[Any]]
+    workspace: str = ""
 
 
 @message("gateway_permit_reply")
--- a/src/filbertyard/gateway/owner.py
+++ b/src/filbertyard/gateway/owner.py
@@ -6,7 +6,9 @@
 import math
 import random
 import time
+from collections import Counter
 from collections.abc import Callable
+from collections.abc import Iterable
 from dataclasses import dataclass
 from dataclasses import field
 from dataclasses import replace
@@ -28,6 +30,9 @@
 from .admission import MIN_RUN_S
 from .admission import EngineQueue
 from .admission import QueuedRequest
+from .fairshare import DemandShares
+from .fairshare import Weight
+from .fairshare import equal_weight
 from .health import HealthTable
 from .messages import AdmissionGranted
 from .messages import AdmissionRejected
@@ -109,7 +114,7 @@
 
     `may_order` tells if the claim on the replica is still valid, `publish_interval`
     how long to wait between two publications of the load, in seconds. `rate_limits` is
-    the table of this host.
+    the table of this host, `weight` returns the weight of a workspace's share.
     """
 
     def __init__(
@@ -127,6 +132,7 @@
         publish_interval: Callable[[], float],
         rate_limits: RateLimitTable,
         metrics: Metrics,
+        weight: Weight = equal_weight,
     ) -> None:
         self.replica = replica
         self.limits = limits
@@ -138,7 +144,10 @@
         self.publish_interval = publish_interval
         self.rate_limits = rate_limits
         self.metrics = metrics
-        self.queue = EngineQueue(limits.slots, limits.kv_tokens, max_prefill_backlog_s)
+        self.queue = EngineQueue(
+            limits.slots, limits.kv_tokens, max_prefill_backlog_s, weight
+        )
+        self.demand = DemandShares(weight)
         self.plan = AdapterPlan(limits.adapter_slots, releases)
         self.health = HealthTable()
         self.http = HttpPeer(replica.address, timeout_s=REPORT_TIMEOUT_S, step="order")
@@ -227,14 +236,16 @@
         )
         if self.replica.is_leaving:
             return AdmissionRejected(message.request_id, "replica_leaving", 0.0)
-        self.plan.record_request(name, now)
+        self.plan.record_request(name, now, self.demand.record(message.workspace, now))
         if message.request_id in self.queue.started:
             # The reply to the first admission request was lost with its connection.
             self.finish(message.request_id, "withdrawn")
         if not self.plan.is_ready(name, now):
             if not self.is_loadable(name):
                 return self.reject(request, host, "adapter_not_loadable", 0.3)
-            load_s = 0.0 if name in self.plan.loading else self.load_wait_s(now, name)
+            load_s = 0.0
+            if name not in self.plan.loading:
+                load_s = self.load_wait_s(now, request)
             if now + load_s + MIN_RUN_S > request.start_deadline:
                 return self.reject(request, host, "no_place_in_time", load_s / 2)
         self.update_rate_limit(now)
@@ -270,10 +281,18 @@
         self.metrics.add(
             "filbertyard_rejections_total", rank=str(request.rank), cause=cause
         )
+        if request.workspace:
+            self.metrics.add(
+                "filbertyard_workspace_rejections_total",
+                workspace=request.workspace,
+                cause=cause,
+            )
         log_event(
             logger,
             "admission_rejected",
             request=request.id,
+            workspace=request.workspace or None,
+            rank=request.rank,
             replica=self.replica.id,
             peer=host,
             cause=cause,
@@ -307,6 +326,12 @@
             self.metrics.observe(
                 "filbertyard_queue_wait_seconds", waited_s, rank=str(request.rank)
             )
+            if request.workspace:
+                self.metrics.observe(
+                    "filbertyard_workspace_queue_wait_seconds",
+                    waited_s,
+                    workspace=request.workspace,
+                )
             pending.answer.set(
                 AdmissionGranted(request.id, version, waited_s, pending.was_absent)
             )
@@ -450,6 +475,11 @@
             replica=self.replica.id,
             waiting=len(queue.waiting),
             started=len(queue.started),
+            waiting_by_workspace=count_workspaces(queue.waiting),
+            started_by_workspace=count_workspaces(
+                item.request for item in queue.started.values()
+            ),
+            kv_tokens=queue.memory_tokens,
             wait_s=queue.wait_s(now, plan.has_latest),
             token_cost_s=queue.token_cost_s,
             prefill_duty=queue.prefill_duty,
@@ -491,21 +521,25 @@
             rate_limit=rate_limits[0] if rate_limits else [],
         )
 
-    def load_wait_s(self, now: float, name: AdapterName | None = None) -> float:
-        """Estimate the time until an absent adapter is loaded.
+    def load_wait_s(self, now: float, request: QueuedRequest | None = None) -> float:
+        """Estimate the time until an absent adapter is loaded, that of a new request.
 
-        Negative if orders are not allowed or no base model is loaded.
+        Negative if orders are not allowed or no base model is loaded. The adapter is
+        loaded behind all others that are waited for; that of a workspace's request
+        behind those that have their turn before.
         """
         if not self.may_order() or not self.plan.models:
             return -1.0
         absent = dict.fromkeys(
             item.adapter
-            for item in self.queue.start_order(now)
+            for item in self.queue.load_order(now, request)
             if item.adapter not in self.plan.loading
             and not self.plan.has_latest(item.adapter)
         )
         ahead = list(absent)
-        queued = ahead.index(name) if name in absent else len(ahead)
+        queued = len(ahead)
+        if request is not None and request.adapter in absent:
+            queued = ahead.index(request.adapter)
         return self.plan.load_wait_s(queued, now)
 
     # Orders.
@@ -744,6 +778,12 @@
         self.admit_waiting(now)
 
 
+def count_workspaces(requests: Iterable[QueuedRequest]) -> str | None:
+    """Return the number of requests of each workspace for a log line, None if none."""
+    counts = Counter(item.workspace for item in requests if item.workspace)
+    return ",".join(f"{key}:{counts[key]}" for key in sorted(counts)) or None
+
+
 def request_id_of(admission_id: str) -> str:
     """Return the caller's request id that is part of `Delivery.admission_id`."""
     return admission_id.partition("#")[0]
--- a/src/filbertyard/gateway/permits.py
+++ b/src/filbertyard/gateway/permits.py
@@ -13,7 +13,9 @@
 from .admission import MIN_RUN_S
 from .admission import STARTS_PER_FIFO_START
 from .admission import Rejection
-from .admission import start_order
+from .fairshare import FairShares
+from .fairshare import Weight
+from .fairshare import equal_weight
 from .ratelimits import TokenBucket
 
 
@@ -30,15 +32,25 @@
     objective_at: float
     start_deadline: float
     replicas: frozenset[str]
+    workspace: str = ""
+
+
+def one_request(item: WaitingRequest) -> float:
+    """Return what a request counts in its workspace's share of a rate limit."""
+    return 1.0
 
 
 class PermitQueue:
-    """Requests that wait for the replicas of one service, and the replicas' buckets."""
+    """Requests that wait for the replicas of one service, and the replicas' buckets.
 
-    def __init__(self) -> None:
+    `weight` returns the weight of a workspace's share.
+    """
+
+    def __init__(self, weight: Weight = equal_weight) -> None:
         self.buckets: dict[str, TokenBucket] = {}
         self.waiting: list[WaitingRequest] = []
         self.starts = 0
+        self.shares: FairShares[WaitingRequest] = FairShares(one_request, weight)
 
     def set_rate(self, replica: str, per_s: float, now: float) -> None:
         """Set the requests per second that a replica takes."""
@@ -58,16 +70,18 @@
     def wait_s(self, item: WaitingRequest, now: float) -> float:
         """Estimate how long a request waits.
 
-        It waits behind those that rank no lower, or for the starts that a flood of
-        urgent requests leaves to the other ranks.
+        It waits behind more urgent ones and those of its rank whose workspaces have
+        their turn before, or for the starts that a flood of urgent requests leaves to
+        the other ranks.
         """
         buckets = [self.buckets[key] for key in item.replicas if key in self.buckets]
-        others = [
-            other.rank
+        rivals = [
+            other
             for other in self.waiting
             if not other.replicas.isdisjoint(item.replicas)
         ]
-        ahead = sum(rank <= item.rank for rank in others)
+        others = [other.rank for other in rivals]
+        ahead = len(self.shares.ahead(item, rivals))
         if not ahead and any(bucket.wait_s(now) <= 0 for bucket in buckets):
             return 0.0
         per_s = sum(bucket.per_s for bucket in buckets)
@@ -81,6 +95,7 @@
 
     def enqueue(self, item: WaitingRequest, now: float) -> Rejection | None:
         """Add a request, or reject it if it would get no permit in time."""
+        self.shares.begin(item, self.waiting)
         wait_s = self.wait_s(item, now)
         if now + wait_s + MIN_RUN_S > item.start_deadline:
             return Rejection("rate_limit", max(MIN_RETRY_AFTER_S, wait_s / 2))
@@ -99,11 +114,11 @@
     def start_order(self, now: float) -> list[WaitingRequest]:
         """Return the waiting requests, the next to be sent first."""
         if self.starts % STARTS_PER_FIFO_START < STARTS_PER_FIFO_START - 1:
-            return start_order(self.waiting, self.starts, now)
+            return self.shares.urgent_first(self.waiting, now)
         most_urgent = min((item.rank for item in self.waiting), default=0)
-        return sorted(
-            self.waiting, key=lambda item: (item.rank == most_urgent, item.arrived)
-        )
+        urgent = [item for item in self.waiting if item.rank == most_urgent]
+        others = [item for item in self.waiting if item.rank != most_urgent]
+        return self.shares.oldest_first(others) + self.shares.oldest_first(urgent)
 
     def grant_next(self, now: float) -> tuple[WaitingRequest, str] | None:
         """Return the next request that may be sent, None if there is none."""
@@ -111,6 +126,7 @@
             replica = self.take(item.replicas, now)
             if replica is not None:
                 self.waiting.remove(item)
+                self.shares.charge(item)
                 self.starts += 1
                 return item, replica
         return None
--- a/src/filbertyard/gateway/ratelimiter.py
+++ b/src/filbertyard/gateway/ratelimiter.py
@@ -29,6 +29,7 @@
 from .claims import boot_clock
 from .delivery import PERMIT_EXPIRED
 from .delivery import Delivery
+from .fairshare import WorkspaceWeights
 from .fleet import Fleet
 from .hubs import rendezvous_order
 from .messages import PermitReply
@@ -99,6 +100,7 @@
         self.shares: dict[str, TokenBucket] = {}
         self.unpublished: set[str] = set()
         self.changed = Event()
+        self.weight = WorkspaceWeights(lambda: state.configuration)
         peers.handle(RateLimits, self.handle_rate_limits)
         peers.handle(RateLimitReport, self.handle_report)
         peers.handle(PermitRequest, self.handle_permit_request)
@@ -250,6 +252,7 @@
             delivery.request.arrived + route.objective_s - now,
             wait_s,
             self.table.rows([replica.id for replica in replicas], now),
+            delivery.workspace_name(),
         )
         asked_at = boot_clock()
         reply = self.ask(message)
@@ -328,7 +331,7 @@
     def acquire(self, message: PermitRequest) -> PermitReply:
         """Wait for a permit for one of several replicas."""
         now = time.monotonic()
-        queue = self.queues.setdefault(message.service, PermitQueue())
+        queue = self.queues.setdefault(message.service, PermitQueue(self.weight))
         for row in message.rate_limits:
             self.apply_row(row, now, "permit request")
         replicas = {row[0]: row[1] for row in message.rate_limits}
@@ -347,6 +350,7 @@
             objective_at=now + message.objective_s,
             start_deadline=now + message.wait_s,
             replicas=frozenset(replicas),
+            workspace=message.workspace,
         )
         rejection = queue.enqueue(item, now)
         if rejection is not None:
@@ -368,10 +372,17 @@
         self.metrics.add(
             "filbertyard_rejections_total", rank=str(item.rank), cause=rejection.cause
         )
+        if item.workspace:
+            self.metrics.add(
+                "filbertyard_workspace_rejections_total",
+                workspace=item.workspace,
+                cause=rejection.cause,
+            )
         log_event(
             logger,
             "permit_rejected",
             request=item.id,
+            workspace=item.workspace or None,
             replicas=",".join(sorted(item.replicas)),
             cause=rejection.cause,
             retry_after_s=rejection.retry_after_s,
--- a/tests/fleetsim.py
+++ b/tests/fleetsim.py
@@ -18,6 +18,9 @@
 from filbertyard.gateway.admission import EngineQueue
 from filbertyard.gateway.admission import QueuedRequest
 from filbertyard.gateway.admission import max_prefill_backlog_s
+from filbertyard.gateway.fairshare import DemandShares
+from filbertyard.gateway.fairshare import Weight
+from filbertyard.gateway.fairshare import equal_weight
 from filbertyard.gateway.placement import Candidate
 from filbertyard.gateway.types import AdapterName
 from filbertyard.gateway.types import EngineReport
@@ -58,6 +61,7 @@
     prompt: int
     output: int
     objective_s: float
+    workspace: str = ""
     first_event_at: float = -1.0
     end_at: float = -1.0
     longest_gap_s: float = 0.0
@@ -110,6 +114,7 @@
     name: str
     queue: EngineQueue
     plan: AdapterPlan
+    demand: DemandShares
     slowness: float = 1.0
     runs: list[Run] = field(default_factory=list)
     requests: dict[str, Request] = field(default_factory=dict)
@@ -139,6 +144,7 @@
         max_gap_s: float = 0.3,
         publish_s: float = 0.4,
         slowness: tuple[float, ...] = (1.0,),
+        weight: Weight = equal_weight,
     ) -> None:
         self.choose = choose
         self.publish_s = publish_s
@@ -148,9 +154,13 @@
             Engine(
                 f"r{number}",
                 EngineQueue(
-                    slots, kv_tokens, max_prefill_backlog_s(max_gap_s, event_tokens)
+                    slots,
+                    kv_tokens,
+                    max_prefill_backlog_s(max_gap_s, event_tokens),
+                    weight,
                 ),
                 AdapterPlan(adapter_slots, {}),
+                DemandShares(weight),
                 slowness[number % len(slowness)],
             )
             for number in range(engines)
@@ -252,8 +262,10 @@
             now + workload.start_timeout_s + 10,
             request.prompt,
             request.output,
+            request.workspace,
         )
-        plan.record_request(request.name, now)
+        weight = engine.demand.record(request.workspace, now)
+        plan.record_request(request.name, now, weight)
         request.was_absent = not plan.has_latest(request.name)
         rejection = engine.queue.enqueue(waiting, now, plan.has_latest)
         if rejection is not None:
--- a/tests/test_gateway_owner.py
+++ b/tests/test_gateway_owner.py
@@ -10,6 +10,7 @@
 from filbertyard.gateway.messages import AdmissionRejected
 from filbertyard.gateway.messages import AdmissionRequest
 from filbertyard.gateway.owner import ReplicaOwner
+from filbertyard.gateway.owner import count_workspaces
 from filbertyard.gateway.ratelimits import RateLimitTable
 from filbertyard.gateway.types import AdapterName
 from filbertyard.gateway.types import EngineLimits
@@ -180,3 +181,42 @@
     owner.record_first_event("1#1")
     assert not owner.queue.overdue(time.monotonic() + 5.0)
     assert owner.queue.overdue(time.monotonic() + 70.0) == ["1#1"]
+
+
+def test_waits_and_rejections_are_counted_by_workspace(owner: ReplicaOwner) -> None:
+    """Without a workspace there are no series and no fields of workspaces."""
+    owner.admit(request("1"), "h2")
+    assert "workspace=" not in owner.metrics.render()
+    owner.admit(request("2", workspace="payroll"), "h2")
+    answer = owner.admit(
+        request("3", "a9", workspace="payroll", start_timeout_s=0.0), "h2"
+    )
+    assert isinstance(answer, AdmissionRejected)
+    text = owner.metrics.render()
+    assert (
+        'filbertyard_workspace_queue_wait_seconds_count{workspace="payroll"} 1' in text
+    )
+    assert "filbertyard_workspace_rejections_total{" in text
+    assert (
+        count_workspaces(item.request for item in owner.queue.started.values())
+        == "payroll:1"
+    )
+    assert count_workspaces([]) is None
+
+
+def test_a_flood_of_absent_adapters_does_not_delay_the_load_of_another_workspace(
+    owner: ReplicaOwner,
+) -> None:
+    """The wait for an adapter is behind one's own turn, not behind the whole flood."""
+    for number in range(30):
+        item = request(f"f{number}", f"cold{number}", workspace="flood")
+        gevent.spawn(owner.admit, item, "h2")
+    gevent.sleep(0.01)
+    waiting = len(owner.queue.waiting)
+    assert waiting > 10
+    now = time.monotonic()
+    own = owner.queue.waiting[-1]
+    mine = replace(own, id="m", workspace="payroll", adapter=AdapterName("m0", "x"))
+    more = replace(own, id="f", adapter=AdapterName("m0", "y"))
+    owner.queue.shares.begin(mine, owner.queue.waiting)
+    assert owner.load_wait_s(now, mine) < owner.load_wait_s(now, more) / 2
