Tell callers of a workspace when to retry after their wait expired

A request that expired in an engine's queue was rejected without a time, so its caller came back after the default 0.5 s to the same full queue. The rejection now has half the wait that a new request of the workspace would have, as for requests rejected on arrival. Requests without a workspace are answered as before.

--- a/src/filbertyard/gateway/admission.py
+++ b/src/filbertyard/gateway/admission.py
@@ -224,10 +224,21 @@
         wait_s = self.wait_s(now, is_ready, item)
         if now + wait_s + MIN_RUN_S > item.start_deadline:
             cause = "rate_limit" if self.rate_bucket is not None else "no_time"
-            return Rejection(cause, max(MIN_RETRY_AFTER_S, wait_s / 2))
+            return Rejection(cause, retry_after_s(wait_s))
         self.waiting.append(item)
         return None
 
+    def expired_retry_s(
+        self, item: QueuedRequest, now: float, is_ready: Callable[[AdapterName], bool]
+    ) -> float:
+        """Return when a workspace's request that expired in the queue may be retried.
+
+        Without a time its caller would return to the same queue at once.
+        """
+        if not item.workspace:
+            return 0.0
+        return retry_after_s(self.wait_s(now, is_ready, item))
+
     def wait_s(
         self,
         now: float,
@@ -418,6 +429,11 @@
         ]
 
 
+def retry_after_s(wait_s: float) -> float:
+    """Return when to retry at a queue in which a request would wait this long."""
+    return max(MIN_RETRY_AFTER_S, wait_s / 2)
+
+
 def may_overtake(item: QueuedRequest, blocked: QueuedRequest) -> bool:
     """Tell if a request may start before one that waits for KV memory."""
     if item.workspace == blocked.workspace:
--- a/src/filbertyard/gateway/owner.py
+++ b/src/filbertyard/gateway/owner.py
@@ -453,7 +453,10 @@
             for request in self.queue.expire(now):
                 pending = self.pending.get(request.id)
                 if pending is not None:
-                    answer = self.reject(request, pending.host, "deadline", 0.0)
+                    retry_s = self.queue.expired_retry_s(
+                        request, now, self.plan.has_latest
+                    )
+                    answer = self.reject(request, pending.host, "deadline", retry_s)
                     pending.answer.set(answer)
             for request_id in self.queue.overdue(now):
                 self.finish(request_id, "unknown")
--- a/tests/test_gateway_fairshare.py
+++ b/tests/test_gateway_fairshare.py
@@ -236,6 +236,21 @@
     assert queue.enqueue(request(30, "other", limit_s=5.0), 0.0, ready) is None
 
 
+def test_a_request_that_expired_is_not_sent_back_to_the_same_queue() -> None:
+    """The queue of its workspace is still long when its time to start is over."""
+    queue = EngineQueue(1, 100_000)
+    queue.run_s = 1.0
+    for number in range(20):
+        queue.enqueue(request(number, "flood", limit_s=9.0), 0.0, ready)
+    late = request(30, "flood", limit_s=5.0)
+    assert queue.expired_retry_s(late, 5.0, ready) > 2.0
+    other = request(31, "other", limit_s=5.0)
+    assert queue.enqueue(other, 0.0, ready) is None
+    queue.waiting.remove(other)
+    assert queue.expired_retry_s(other, 5.0, ready) < 1.0
+    assert queue.expired_retry_s(request(32), 5.0, ready) == 0.0
+
+
 def test_first_come_starts_are_shared_among_workspaces() -> None:
     """The oldest requests of a rank are all of the workspace that floods."""
     queue = EngineQueue(64, 1_000_000)
