Weigh the price of leaving the availability zone

Replicas were chosen by their waits alone.

A price of traffic between zones, expressed in waiting time, is added to the estimates of replicas in other zones. Those of the own zone fill up to it first, and what leaves is what they lack. A request leaves at any price if only that meets its objective. Unseen requests are those of the own zone, so that hosts of one zone share one view. Without a price, the default, choices are as before.

--- a/src/filbertyard/gateway/delivery.py
+++ b/src/filbertyard/gateway/delivery.py
@@ -49,6 +49,8 @@
     """What the caller has received so far, and the fields of the request's log line.
 
     `expected_s` is the estimated time to the first event of the last replica chosen,
+    `saved_s` how much shorter it is than that of the host's own zone if the replica is
+    in another one, `replica_zone` the zone of the last replica that got the request;
     `has_begun` tells if the last replica that got the request sent an event.
     `sent_at` is when the last one was sent. `permit_until` is when the permit for a
     rate-limited replica ends, on the boot clock; `rate_limit` is what the last response
@@ -82,6 +84,8 @@
     was_absent: bool = False
     expected_s: float = 0.0
     load_age_s: float = 0.0
+    saved_s: float | None = None
+    replica_zone: str = ""
     sent_at: float = 0.0
     permit_until: float = math.inf
     rate_limit: Statement | None = None
@@ -132,6 +136,10 @@
         """Return the time until the final response must be started."""
         return self.deadline() - END_MARGIN_S - time.monotonic()
 
+    def objective_left_s(self) -> float:
+        """Return the time until the first event is late, negative if it is."""
+        return self.request.arrived + self.route.objective_s - time.monotonic()
+
     def event_timeout_left_s(self) -> float:
         """Return the time until the caller gives up waiting for the next event."""
         route = self.route
--- a/src/filbertyard/gateway/entry.py
+++ b/src/filbertyard/gateway/entry.py
@@ -36,6 +36,7 @@
 from .messages import AdmissionGranted
 from .messages import AdmissionRejected
 from .messages import AdmissionRequest
+from .placement import SAME_ZONE_BONUS
 from .placement import Candidate
 from .placement import PlainCandidate
 from .placement import choose_replica
@@ -56,6 +57,12 @@
 from .types import Replica
 from .types import Route
 from .wire import WireFormat
+from .zonecosts import Crossing
+from .zonecosts import ResponseSizes
+from .zonecosts import ZonePrice
+from .zonecosts import limit_price_s
+from .zonecosts import plain_advantage
+from .zonecosts import saved_s
 
 logger = logging.getLogger(__name__)
 
@@ -142,6 +149,9 @@
     def is_new(self) -> bool:
         """Tell if what other hosts publish may still be missing."""
 
+    def arriving_share(self) -> float:
+        """Return the share of the fleet's requests that arrive in this zone."""
+
 
 class EntryApplication:
     """WSGI application for callers."""
@@ -156,6 +166,7 @@
         budget: RetryBudget,
         metrics: Metrics,
         zone: str,
+        zone_price: ZonePrice,
     ) -> None:
         self.wire = wire
         self.state = state
@@ -165,6 +176,8 @@
         self.budget = budget
         self.metrics = metrics
         self.zone = zone
+        self.zone_price = zone_price
+        self.response_sizes = ResponseSizes()
         self.sender = Sender(
             wire,
             state.is_usable,
@@ -356,7 +369,8 @@
                 for candidate in self.owners.candidates(service, name)
                 if not excluded[candidate.replica]
             ]
-            candidate = choose_replica(str(name), found, request.id)
+            crossing = self.crossing(delivery, found)
+            candidate = choose_replica(str(name), found, request.id, crossing)
             if candidate is None and found and self.may_await_loads(request.arrived):
                 gevent.sleep(START_POLL_S)
                 continue
@@ -365,6 +379,10 @@
             delivery.admission_attempts += 1
             delivery.expected_s = estimate_first_event_s(candidate)
             delivery.load_age_s = candidate.age_s
+            if crossing is not None:
+                delivery.saved_s = saved_s(
+                    candidate.replica, crossing.estimates, crossing.others
+                )
             asked_at = boot_clock()
             admission = self.request_admission(
                 delivery, candidate, name, is_adapter_absent
@@ -425,6 +443,7 @@
                     replica.id, delivery.admission_id(), "not_run"
                 )
                 break
+            self.record_send(delivery, replica)
             attempt = self.send_admitted(delivery, replica, version)
             if attempt.outcome == "delivered":
                 return self.record_end(delivery, "served")
@@ -660,6 +679,7 @@
             if delivery.sends and not self.spend_retry(delivery, service):
                 break
             tried.add(replica.id)
+            self.record_send(delivery, replica)
             may_try_another = route.may_retry and len(tried) < route.max_replicas
             attempt = self.sender.send(
                 delivery, replica, 0, is_last=not may_try_another
@@ -685,7 +705,7 @@
 
         Wait for a permit only if all replicas have rate limits and the host goes on.
         """
-        replicas = self.order_plain_replicas(service, tried)
+        replicas = self.order_plain_replicas(delivery, service, tried)
         limited = list(itertools.takewhile(self.limiter.is_limited, replicas))
         others = replicas[len(limited) :]
         delivery.permit_until = math.inf
@@ -705,7 +725,9 @@
             return permit.replica
         return others[0] if others else permit
 
-    def order_plain_replicas(self, service: str, tried: set[str]) -> list[Replica]:
+    def order_plain_replicas(
+        self, delivery: Delivery, service: str, tried: set[str]
+    ) -> list[Replica]:
         """Return the replicas of a plain service, the least loaded first."""
         now = time.monotonic()
         usable = {
@@ -726,7 +748,61 @@
             )
             for key in reachable or usable
         ]
-        return [usable[key] for key in order_plain(candidates, self.random.random())]
+        advantage = self.plain_advantage(delivery)
+        ordered = order_plain(candidates, self.random.random(), advantage)
+        return [usable[key] for key in ordered]
+
+    # Availability zones.
+
+    def crossing_price_s(self, delivery: Delivery) -> float:
+        """Return the price of sending a request to another zone, in seconds."""
+        response_bytes = self.response_sizes.expected_bytes(delivery.service)
+        return self.zone_price.crossing_s(len(delivery.request.body) + response_bytes)
+
+    def crossing(
+        self, delivery: Delivery, candidates: list[Candidate]
+    ) -> Crossing | None:
+        """Return what a request pays outside of this zone, None without a price."""
+        if not self.zone_price.is_set:
+            return None
+        others = {
+            replica.id
+            for replica in self.state.usable(delivery.service)
+            if replica.zone != self.zone
+        }
+        estimates = {item.replica: estimate_first_event_s(item) for item in candidates}
+        found = [cost for key, cost in estimates.items() if key in others]
+        price_s = limit_price_s(
+            self.crossing_price_s(delivery),
+            delivery.objective_left_s(),
+            min(found, default=math.inf),
+        )
+        return Crossing(price_s, others, self.owners.arriving_share(), estimates)
+
+    def plain_advantage(self, delivery: Delivery) -> float:
+        """Return the advantage of plain replicas in this zone, a ratio of slots."""
+        run_s = self.run_times.mean_s(delivery.service)
+        if not self.zone_price.is_set or not run_s:
+            return SAME_ZONE_BONUS
+        price_s = limit_price_s(
+            self.crossing_price_s(delivery), delivery.objective_left_s(), run_s
+        )
+        return plain_advantage(price_s, run_s)
+
+    def record_send(self, delivery: Delivery, replica: Replica) -> None:
+        """Record to which zone a request goes."""
+        delivery.replica_zone = replica.zone
+        scope = self.zone_scope(replica.zone)
+        self.metrics.add("filbertyard_zone_sends_total", scope=scope)
+        self.metrics.add(
+            "filbertyard_zone_bytes_total",
+            len(delivery.request.body),
+            scope=scope,
+        )
+
+    def zone_scope(self, zone: str) -> str:
+        """Return the value of the `scope` label of a replica's zone."""
+        return "own" if zone == self.zone else "other"
 
     # Results.
 
@@ -748,6 +824,14 @@
             self.metrics.observe("filbertyard_first_token_seconds", first_s, rank=rank)
             if first_s <= route.objective_s:
                 self.metrics.add("filbertyard_first_tokens_in_target_total", rank=rank)
+        if delivery.replica_zone:
+            self.metrics.add(
+                "filbertyard_zone_bytes_total",
+                delivery.bytes_sent,
+                scope=self.zone_scope(delivery.replica_zone),
+            )
+        if outcome == "served":
+            self.response_sizes.record(delivery.service, delivery.bytes_sent)
         log_event(
             logger,
             "request",
@@ -772,6 +856,8 @@
             admission_attempts=delivery.admission_attempts or None,
             sends=delivery.sends,
             replicas=",".join(delivery.replicas),
+            zone=delivery.replica_zone or None,
+            saved_s=delivery.saved_s,
             causes=",".join(delivery.causes),
         )
         return []
--- a/src/filbertyard/gateway/grace.py
+++ b/src/filbertyard/gateway/grace.py
@@ -94,6 +94,11 @@
         else:
             known.record(unit_s)
 
+    def mean_s(self, service: str) -> float:
+        """Return the mean time of a run for each unit of its size, 0 if unknown."""
+        known = self.services.get(service)
+        return known.mean_s if known is not None else 0.0
+
     def expected_s(self, service: str, size: int) -> float:
         """Return the time that most runs stay below, 0 if none is known."""
         known = self.services.get(service)
--- a/src/filbertyard/gateway/host.py
+++ b/src/filbertyard/gateway/host.py
@@ -55,6 +55,7 @@
 from .types import AdapterName
 from .types import HostRecord
 from .wire import WireFormat
+from .zonecosts import arriving_share
 
 logger = logging.getLogger(__name__)
 
@@ -134,6 +135,7 @@
             self.budget,
             self.metrics,
             settings.availability_zone,
+            settings.zone_price,
         )
         self.directory = DirectoryApplication(self, wire, bounds.address_ttl_s)
         batch_intervals = {
@@ -250,6 +252,11 @@
         """Tell if what other hosts publish may still be missing."""
         return self.fleet.is_new()
 
+    def arriving_share(self) -> float:
+        """Return the share of the fleet's requests that arrive in this zone."""
+        zone = self.settings.availability_zone
+        return arriving_share(zone, self.fleet.expected_zones())
+
     def caller_addresses(self, zone: str) -> list[str]:
         """Return the addresses where callers of a zone should connect, at least one."""
         found = self.fleet.caller_addresses()
--- a/src/filbertyard/gateway/placement.py
+++ b/src/filbertyard/gateway/placement.py
@@ -13,6 +13,8 @@
 
 import xxhash
 
+from .zonecosts import Crossing
+
 # Waiting time equivalent to a failure rate of 1.
 FAILURE_PENALTY_S = 2.0
 
@@ -97,7 +99,10 @@
 
 
 def choose_replica(
-    adapter: str, candidates: Iterable[Candidate], request: str = ""
+    adapter: str,
+    candidates: Iterable[Candidate],
+    request: str = "",
+    crossing: Crossing | None = None,
 ) -> Candidate | None:
     """Return where a request should go, None if no replica can run it.
 
@@ -106,14 +111,18 @@
     spread as if they filled up the cheapest replicas to one level. Among the replicas
     that hold or load the adapter, each request is hashed separately; for an absent
     adapter the adapter's name is hashed, since each further replica would have to load
-    it.
+    it. With `crossing`, replicas of other zones cost its price more, and the unseen
+    requests are those that arrive in the own zone.
     """
+    demand_share = crossing.demand_share if crossing is not None else 1.0
     best: Candidate | None = None
     min_level_s = math.inf
     holders: dict[Candidate, float] = {}
     others: dict[Candidate, float] = {}
     for item in candidates:
         cost = estimate_first_event_s(item)
+        if crossing is not None:
+            cost += crossing.extra_s(item.replica, UNSEEN_PREFILL_RATIO * item.age_s)
         if not math.isinf(cost):
             is_holder = item.is_resident or item.load_left_s >= 0
             (holders if is_holder else others)[item] = cost
@@ -124,7 +133,8 @@
         if not costs:
             continue
         age_s = sum(item.age_s for item in costs) / len(costs)
-        volume_s = len(costs) * max(min_volume_s, UNSEEN_PREFILL_RATIO * age_s)
+        unseen_s = max(min_volume_s, UNSEEN_PREFILL_RATIO * age_s)
+        volume_s = demand_share * len(costs) * unseen_s
         level_s = water_level_s(costs.values(), volume_s)
         if level_s < min_level_s:
             best, min_level_s = pick_weighted(costs, level_s, key), level_s
@@ -146,17 +156,22 @@
 SAME_ZONE_BONUS = 0.05
 
 
-def order_plain(candidates: Iterable[PlainCandidate], tie_break: float) -> list[str]:
+def order_plain(
+    candidates: Iterable[PlainCandidate],
+    tie_break: float,
+    zone_advantage: float = SAME_ZONE_BONUS,
+) -> list[str]:
     """Return replicas of a plain service, the least loaded first.
 
-    `tie_break` is a random number from 0 to 1.
+    `tie_break` is a random number from 0 to 1, `zone_advantage` the advantage of a
+    replica in the host's own zone.
     """
     costs = {}
     for index, item in enumerate(sorted(candidates, key=lambda c: c.replica)):
         load = (item.running + 1) / max(1, item.slots)
         cost = load / max(0.05, 1.0 - item.failure_rate)
         cost += FAILURE_PENALTY_S * item.failure_rate
-        cost -= SAME_ZONE_BONUS * item.is_same_zone
+        cost += zone_advantage * (not item.is_same_zone)
         cost += 0.01 * ((tie_break + index * 0.618) % 1.0)
         costs[item.replica] = cost
     return sorted(costs, key=costs.__getitem__)
--- a/src/filbertyard/gateway/settings.py
+++ b/src/filbertyard/gateway/settings.py
@@ -2,9 +2,18 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 from dataclasses import field
 
+from pydantic import BaseModel
+from pydantic import Field
+from pydantic import ValidationError
+
+from ..exceptions import SettingsError
+from ..models import Quantity
+from .zonecosts import ZonePrice
+
 
 @dataclass(frozen=True, slots=True)
 class GatewayBounds:
@@ -31,7 +40,8 @@
     `callers`, `readiness` and `directory` are addresses to listen on. `peers` is the
     address for other hosts and the id of this host; `seeds` are such addresses of a few
     other hosts and may be outdated. `is_first_start` tells that the whole fleet starts
-    for the first time, so that no process of this host ran before.
+    for the first time, so that no process of this host ran before. `zone_price` is what
+    traffic to another availability zone costs.
     """
 
     name: str
@@ -49,3 +59,22 @@
     peer_key: str = ""
     zones: dict[str, str] = field(default_factory=dict)
     is_first_start: bool = True
+    zone_price: ZonePrice = ZonePrice()
+
+
+class ZonePriceVariables(BaseModel):
+    """Environment variables with the price of traffic between availability zones."""
+
+    per_request_ms: Quantity = Field(0.0, alias="FILBERTYARD_ZONE_PRICE_MS")
+    per_kb_ms: Quantity = Field(0.0, alias="FILBERTYARD_ZONE_PRICE_MS_PER_KB")
+
+
+def read_zone_price(environ: Mapping[str, str]) -> ZonePrice:
+    """Read the price of traffic between zones; raise SettingsError."""
+    try:
+        found = ZonePriceVariables.model_validate(dict(environ))
+    except ValidationError as error:
+        first = error.errors()[0]
+        name = ".".join(str(part) for part in first["loc"])
+        raise SettingsError(name, repr(first["input"])[:80], first["msg"]) from error
+    return ZonePrice(found.per_request_ms / 1000, found.per_kb_ms / 1000)
--- a/src/filbertyard/metrics.py
+++ b/src/filbertyard/metrics.py
@@ -43,6 +43,8 @@
     "filbertyard_requests_total": "Requests by rank and outcome.",
     "filbertyard_first_tokens_in_target_total": "First tokens within their target.",
     "filbertyard_tokens_total": "Parts of streamed responses relayed to callers.",
+    "filbertyard_zone_sends_total": "Requests sent to replicas, by zone.",
+    "filbertyard_zone_bytes_total": "Bytes of requests and responses, by zone.",
     "filbertyard_rejections_total": "Attempts on replicas of this host not run.",
     "filbertyard_retries_total": "Attempts after the first one of a request.",
     "filbertyard_load_stalls_total": "Dispatched calls that waited for a load.",
--- a/src/filbertyard/platform/settings.py
+++ b/src/filbertyard/platform/settings.py
@@ -13,6 +13,7 @@
 from ..exceptions import SettingsError
 from ..gateway.settings import GatewayBounds
 from ..gateway.settings import GatewaySettings
+from ..gateway.zonecosts import ZonePrice
 from ..models import Address
 from ..models import PositiveQuantity
 from ..models import Quantity
@@ -71,7 +72,12 @@
     provider: Provider
 
 
-def load_node_file(path: Path, metrics_port: int, peer_key: str) -> GatewaySettings:
+def load_node_file(
+    path: Path,
+    metrics_port: int,
+    peer_key: str,
+    zone_price: ZonePrice | None = None,
+) -> GatewaySettings:
     """Read and validate a settings file; raise SettingsError naming the field."""
     try:
         node = NodeFile.model_validate(tomllib.loads(path.read_text()))
@@ -101,6 +107,7 @@
         peer_key=peer_key,
         zones=node.zones,
         is_first_start=node.bootstrap,
+        zone_price=zone_price or ZonePrice(),
         bounds=GatewayBounds(
             drain_s=bounds.drain_ms / 1000,
             grace_s=bounds.grace_s,
--- a/src/filbertyard/platform/standins.py
+++ b/src/filbertyard/platform/standins.py
@@ -294,9 +294,11 @@
         load_s: float = 0.02,
         event_s: float = 0.002,
         events: int = 4,
+        zone: str = "a",
     ) -> None:
         super().__init__()
         self.id = replica
+        self.zone = zone
         self.service = service
         self.model = model
         self.adapter_slots = adapter_slots
@@ -325,7 +327,7 @@
         return {
             "service": self.service,
             "address": self.address,
-            "zone": "a",
+            "zone": self.zone,
             "slots": 8,
             "state": state,
             "born": self.started_ms,
--- a/src/filbertyard/programs/gateway.py
+++ b/src/filbertyard/programs/gateway.py
@@ -23,8 +23,10 @@
     """Run one gateway host until SIGTERM or SIGINT, then leave the fleet gracefully.
 
     The settings file of the platform is named by FILBERTYARD_NODE_FILE; hosts of one
-    fleet share FILBERTYARD_PEER_KEY. Exit status 0 after a graceful shutdown, 2 for a
-    settings file that cannot be used.
+    fleet share FILBERTYARD_PEER_KEY. FILBERTYARD_ZONE_PRICE_MS and
+    FILBERTYARD_ZONE_PRICE_MS_PER_KB are what a request to another availability zone is
+    worth in its caller's waiting, and each 1,000 bytes of it. Exit status 0 after a
+    graceful shutdown, 2 for settings that cannot be used.
 
     :param metrics_port: port of the metrics endpoint on the host's address, 0 for none
     :param log_level: debug, info, warning or error
@@ -33,17 +35,19 @@
     os.environ.setdefault("GEVENT_RESOLVER", "block")
 
     from ..exceptions import SettingsError
+    from ..gateway.settings import read_zone_price
     from ..platform.settings import DEFAULT_SETTINGS_PATH
     from ..platform.settings import SETTINGS_VARIABLE
     from ..platform.settings import load_node_file
 
-    read_settings = functools.partial(
-        load_node_file,
-        Path(os.environ.get(SETTINGS_VARIABLE, DEFAULT_SETTINGS_PATH)),
-        metrics_port,
-        os.environ.get(PEER_KEY_VARIABLE, ""),
-    )
     try:
+        read_settings = functools.partial(
+            load_node_file,
+            Path(os.environ.get(SETTINGS_VARIABLE, DEFAULT_SETTINGS_PATH)),
+            metrics_port,
+            os.environ.get(PEER_KEY_VARIABLE, ""),
+            read_zone_price(os.environ),
+        )
         settings = read_settings()
     except SettingsError as error:
         print(f"filbertyard-gateway: {error.message}", file=sys.stderr)
--- a/tests/gatewayfleet.py
+++ b/tests/gatewayfleet.py
@@ -20,6 +20,7 @@
 from filbertyard.gateway.host import GatewayHost
 from filbertyard.gateway.settings import GatewayBounds
 from filbertyard.gateway.settings import GatewaySettings
+from filbertyard.gateway.zonecosts import ZonePrice
 from filbertyard.platform.factory import create_platform_host
 from filbertyard.platform.settings import KEY_VALUE_FORM
 from filbertyard.platform.standins import PlatformStoreStandin
@@ -149,6 +150,7 @@
     replicas: list[ReplicaStandin] = field(default_factory=list)
     hosts: list[GatewayHost] = field(default_factory=list)
     bounds: GatewayBounds = BOUNDS
+    zone_price: ZonePrice = field(default_factory=ZonePrice)
     count: int = 0
 
     def add_replica(self, replica: ReplicaStandin) -> ReplicaStandin:
@@ -185,6 +187,7 @@
             key_value_form=KEY_VALUE_FORM,
             bounds=self.bounds,
             peer_key="a-key-for-tests",
+            zone_price=self.zone_price,
         )
         host = create_platform_host(settings)
         host.start()
