Weigh the price of another zone in the product's own routing too

Calls of entry hosts went to the replica with the least wait in any availability zone. The settings file of a host now names the price of another zone (`zone_price_ms`, `zone_price_ms_per_kb`), as on the gateway and by the same functions, which move to `zonecosts.py`. The default of 0 keeps the choices as they were. The price is added after the rounding of costs, so that prices below one step count.

`pytest tests/test_routing_zones.py tests/test_decisions.py tests/test_attempts.py`

--- a/src/filbertyard/gateway/entry.py
+++ b/src/filbertyard/gateway/entry.py
@@ -25,6 +25,12 @@
 from ..exceptions import RequestError
 from ..logs import log_event
 from ..metrics import Metrics
+from ..zonecosts import Crossing
+from ..zonecosts import ResponseSizes
+from ..zonecosts import ZonePrice
+from ..zonecosts import limit_price_s
+from ..zonecosts import plain_advantage
+from ..zonecosts import saved_s
 from .admission import Rejection
 from .claims import boot_clock
 from .delivery import PERMIT_EXPIRED
@@ -57,12 +63,6 @@
 from .types import Replica
 from .types import Route
 from .wire import WireFormat
-from .zonecosts import Crossing
-from .zonecosts import ResponseSizes
-from .zonecosts import ZonePrice
-from .zonecosts import limit_price_s
-from .zonecosts import plain_advantage
-from .zonecosts import saved_s
 
 logger = logging.getLogger(__name__)
 
--- a/src/filbertyard/gateway/host.py
+++ b/src/filbertyard/gateway/host.py
@@ -21,6 +21,7 @@
 from ..metrics import Metrics
 from ..peers import STREAM_BROKE
 from ..peers import PeerNetwork
+from ..zonecosts import arriving_share
 from .admission import max_prefill_backlog_s
 from .claims import Registrar
 from .claims import boot_clock
@@ -55,7 +56,6 @@
 from .types import AdapterName
 from .types import HostRecord
 from .wire import WireFormat
-from .zonecosts import arriving_share
 
 logger = logging.getLogger(__name__)
 
--- a/src/filbertyard/gateway/placement.py
+++ b/src/filbertyard/gateway/placement.py
@@ -13,7 +13,7 @@
 
 import xxhash
 
-from .zonecosts import Crossing
+from ..zonecosts import Crossing
 
 # Waiting time equivalent to a failure rate of 1.
 FAILURE_PENALTY_S = 2.0
--- a/src/filbertyard/gateway/settings.py
+++ b/src/filbertyard/gateway/settings.py
@@ -12,7 +12,7 @@
 
 from ..exceptions import SettingsError
 from ..models import Quantity
-from .zonecosts import ZonePrice
+from ..zonecosts import ZonePrice
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/filbertyard/host.py
+++ b/src/filbertyard/host.py
@@ -147,7 +147,7 @@
         self.settings_store.join(self.membership, self.peers)
         self.attempts = Attempts(
             self.name,
-            create_router(settings.policy),
+            create_router(settings.policy, settings.zone_price()),
             self.views,
             self.run_attempt,
             self.query_attempt,
@@ -335,7 +335,11 @@
 
     def views(self, upstream: str) -> list[ReplicaView]:
         """Return what this host knows of an upstream's replicas."""
-        return self.resources.views(upstream)
+        views = self.resources.views(upstream)
+        own_zone = self.settings.availability_zone
+        for view in views:
+            view.is_other_zone = view.zone not in ("", own_zone)
+        return views
 
     def run(self, call: Call, idempotency_key: str) -> Iterator[Reply]:
         """Run one resolved call."""
--- a/src/filbertyard/hostsettings.py
+++ b/src/filbertyard/hostsettings.py
@@ -15,6 +15,7 @@
 from pydantic import ValidationError
 
 from .exceptions import SettingsError
+from .zonecosts import ZonePrice
 
 ADDRESS_PATTERN = r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$"
 NAME_PATTERN = r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$"
@@ -66,10 +67,26 @@
     operator_key: str = Field(default="", description="authenticates operators")
     shared_key: str = Field(min_length=16, description="authenticates entry hosts")
     max_age_s: float = Field(default=10.0, ge=0)
+    zone_price_ms: float = Field(
+        default=0.0,
+        ge=0,
+        allow_inf_nan=False,
+        description="what a call to another availability zone is worth in waiting",
+    )
+    zone_price_ms_per_kb: float = Field(
+        default=0.0,
+        ge=0,
+        allow_inf_nan=False,
+        description="the same for each 1,000 bytes of the call's body",
+    )
     policy: str = "shares"
     log_level: Literal["debug", "info", "warning", "error"] = "info"
     tracing: TracingSettings = TracingSettings()
 
+    def zone_price(self) -> ZonePrice:
+        """Return the price of traffic to other availability zones."""
+        return ZonePrice(self.zone_price_ms / 1000, self.zone_price_ms_per_kb / 1000)
+
 
 def load_settings(path: Path, model: type[S]) -> S:
     """Read and validate a settings file; raise SettingsError naming file and line."""
--- a/src/filbertyard/platform/settings.py
+++ b/src/filbertyard/platform/settings.py
@@ -13,10 +13,10 @@
 from ..exceptions import SettingsError
 from ..gateway.settings import GatewayBounds
 from ..gateway.settings import GatewaySettings
-from ..gateway.zonecosts import ZonePrice
 from ..models import Address
 from ..models import PositiveQuantity
 from ..models import Quantity
+from ..zonecosts import ZonePrice
 
 SETTINGS_VARIABLE = "FILBERTYARD_NODE_FILE"
 
--- a/src/filbertyard/routing.py
+++ b/src/filbertyard/routing.py
@@ -19,6 +19,8 @@
 from .messages import NotRun
 from .messages import Reply
 from .messages import Started
+from .zonecosts import ZonePrice
+from .zonecosts import limit_price_s
 
 # Home replicas of an adapter: the first ones in `home_order`. Calls spread to others
 # only when the waits at the homes are long.
@@ -62,6 +64,7 @@
     waits: dict[str, float] = field(default_factory=dict)
     zone: str = ""
     is_local: bool = False
+    is_other_zone: bool = False
 
 
 class Router(Protocol):
@@ -76,10 +79,10 @@
         """Update the routing state from a reply of the replica's owner."""
 
 
-ROUTING_POLICIES: dict[str, Callable[[], Router]] = {}
+ROUTING_POLICIES: dict[str, Callable[[ZonePrice], Router]] = {}
 
 
-R = TypeVar("R", bound=Callable[[], Router])
+R = TypeVar("R", bound=Callable[[ZonePrice], Router])
 
 
 def routing_policy(name: str) -> Callable[[R], R]:
@@ -92,9 +95,9 @@
     return register
 
 
-def create_router(policy: str) -> Router:
-    """Return a router of the policy `policy`."""
-    return ROUTING_POLICIES[policy]()
+def create_router(policy: str, zone_price: ZonePrice | None = None) -> Router:
+    """Return a router of the policy `policy`, with a price of leaving the zone."""
+    return ROUTING_POLICIES[policy](zone_price or ZonePrice())
 
 
 def rendezvous_weight(key: str, name: str) -> int:
@@ -115,7 +118,7 @@
 class RoundRobin:
     """Use the replicas in turn."""
 
-    def __init__(self) -> None:
+    def __init__(self, zone_price: ZonePrice) -> None:
         self.turn = 0
 
     def choose(
@@ -144,7 +147,10 @@
 class CostRouter:
     """Choose the replica with the least expected wait, including adapter loads."""
 
-    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+    def __init__(
+        self, zone_price: ZonePrice, clock: Callable[[], float] = time.monotonic
+    ) -> None:
+        self.zone_price = zone_price
         self.clock = clock
         self.waits: dict[tuple[str, str], ReportedWait] = {}
         # Time until which a replica is avoided, by replica, rank and team.
@@ -164,9 +170,16 @@
         if not candidates:
             return None
         adapter = call.adapter
+        crossing_s = self.crossing_s(call, candidates, now)
         if adapter is None:
             order = rendezvous_order(call.request_id, candidates)
-            return min(order, key=lambda view: self.wait_s(view, call.rank.name, now))
+            return min(
+                order,
+                key=lambda view: (
+                    self.wait_s(view, call.rank.name, now)
+                    + crossing_s * view.is_other_zone
+                ),
+            )
         last_served = self.holders.get(adapter, {})
         best: tuple[float, ReplicaView] | None = None
         for place, view in enumerate(home_order(adapter, candidates)):
@@ -183,10 +196,28 @@
             # Costs are rounded to steps: smaller differences are noise, and the calls
             # of an adapter should stay at one replica.
             cost = round(cost / COST_STEP_S) * COST_STEP_S
+            cost += crossing_s * view.is_other_zone
             if best is None or cost < best[0]:
                 best = (cost, view)
         return best[1] if best is not None else None
 
+    def crossing_s(
+        self, call: Call, candidates: list[ReplicaView], now: float
+    ) -> float:
+        """Return the price of another zone for a call, in seconds of waiting."""
+        if not self.zone_price.is_set:
+            return 0.0
+        waits = [
+            self.wait_s(view, call.rank.name, now)
+            for view in candidates
+            if view.is_other_zone
+        ]
+        return limit_price_s(
+            self.zone_price.crossing_s(len(call.body)),
+            call.rank.target_s,
+            min(waits, default=math.inf),
+        )
+
     def wait_s(self, view: ReplicaView, rank: str, now: float) -> float:
         """Return the newest known wait of a rank at a replica in seconds."""
         if view.is_local:
--- a/tests/gatewayfleet.py
+++ b/tests/gatewayfleet.py
@@ -20,11 +20,11 @@
 from filbertyard.gateway.host import GatewayHost
 from filbertyard.gateway.settings import GatewayBounds
 from filbertyard.gateway.settings import GatewaySettings
-from filbertyard.gateway.zonecosts import ZonePrice
 from filbertyard.platform.factory import create_platform_host
 from filbertyard.platform.settings import KEY_VALUE_FORM
 from filbertyard.platform.standins import PlatformStoreStandin
 from filbertyard.platform.standins import ReplicaStandin
+from filbertyard.zonecosts import ZonePrice
 
 MODEL = "m0"
 
--- a/tests/test_gateway_zones_path.py
+++ b/tests/test_gateway_zones_path.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from filbertyard.gateway.zonecosts import ZonePrice
 from filbertyard.platform.standins import ReplicaStandin
+from filbertyard.zonecosts import ZonePrice
 from gatewayfleet import GatewayFleet
 from gatewayfleet import wait_until
 
