Show where a call would go now, without sending it

Operators could see what had happened to a call (`filbertyardctl explain`), but not where the next one would go. The answer comes from the functions that choose the replica of a call; nothing is sent, counted or taken from a budget.

`pytest tests/test_observation.py tests/test_attempts.py tests/test_decisions.py tests/test_routing_zones.py`

--- a/src/filbertyard/attempts.py
+++ b/src/filbertyard/attempts.py
@@ -34,7 +34,9 @@
 from .messages import Reply
 from .messages import Started
 from .routing import ReplicaView
+from .routing import RouteEstimate
 from .routing import Router
+from .routing import find_cheapest
 from .routing import usable_replicas
 
 logger = logging.getLogger(__name__)
@@ -110,6 +112,23 @@
     events: int = 0
 
 
+@dataclass(slots=True)
+class RoutePreview:
+    """Where a call would go now: the cheapest of `estimates`, else `refusal`.
+
+    `excluded` has the causes why other replicas are left out.
+    """
+
+    estimates: list[RouteEstimate]
+    excluded: dict[str, str]
+    refusal: NotRun | None = None
+
+    @property
+    def chosen(self) -> ReplicaView | None:
+        """Return the replica that the call would be sent to."""
+        return find_cheapest(self.estimates)
+
+
 class Attempts:
     """Run calls through the owners of replicas."""
 
@@ -203,14 +222,44 @@
     def choose(self, call: Call, tried: set[str]) -> ReplicaView | NotRun:
         """Return the replica for the next attempt, or why there is none."""
         views = self.views(call.upstream)
+        waits = self.breaker_waits(call, views)
+        chosen = self.router.choose(call, views, tried | waits.keys())
+        if chosen is not None:
+            return chosen
+        return self.no_replica_reply(call, views, waits, tried)
+
+    def breaker_waits(self, call: Call, views: list[ReplicaView]) -> dict[str, float]:
+        """Return how long open breakers keep a call from replicas, by replica."""
         waits = {}
         for view in views:
             wait_s = self.breakers.wait_s(failure_scopes(call, view))
             if wait_s > 0:
                 waits[view.name] = wait_s
-        chosen = self.router.choose(call, views, tried | waits.keys())
-        if chosen is not None:
-            return chosen
+        return waits
+
+    def preview(self, call: Call) -> RoutePreview:
+        """Return where a call would go now and why, without sending it."""
+        views = self.views(call.upstream)
+        waits = self.breaker_waits(call, views)
+        estimates = self.router.estimate(call, views, set(waits))
+        excluded = {
+            view.name: exclusion_cause(view, waits)
+            for view in views
+            if all(item.view.name != view.name for item in estimates)
+        }
+        refusal = None
+        if not estimates:
+            refusal = self.no_replica_reply(call, views, waits, set())
+        return RoutePreview(estimates, excluded, refusal)
+
+    def no_replica_reply(
+        self,
+        call: Call,
+        views: list[ReplicaView],
+        waits: dict[str, float],
+        tried: set[str],
+    ) -> NotRun:
+        """Return the reply to a call that no replica can take."""
         open_waits = [wait for name, wait in waits.items() if name not in tried]
         cause = "circuit_open" if open_waits else "no_replica"
         detail = f"no replica of {call.upstream!r} can take the call"
@@ -445,3 +494,12 @@
         max_tokens=call.max_tokens,
         origin=origin,
     )
+
+
+def exclusion_cause(view: ReplicaView, breaker_waits: dict[str, float]) -> str:
+    """Return why a replica cannot take a call."""
+    if view.is_leaving:
+        return "leaving"
+    if not view.owner:
+        return "no_owner"
+    return "circuit_open" if view.name in breaker_waits else "overloaded"
--- a/src/filbertyard/ctlqueries.py
+++ b/src/filbertyard/ctlqueries.py
@@ -81,6 +81,43 @@
     return run_query("/operator/explain", parameters, show, address, key)
 
 
+@query
+def route(
+    target: str,
+    *,
+    path: str = "",
+    method: str = "POST",
+    rank: str = "",
+    request_id: str = "",
+    json: bool = False,
+    address: str = "",
+    key: str = "",
+) -> int:
+    """Show where a call would go now and why, without sending it.
+
+    The queried host decides as for a caller of its own. Exit status 0, 1 if the target
+    is not in force, 2 for wrong usage, 3 if the host cannot be reached.
+
+    :param target: TEAM/ADAPTER[@VERSION], or TEAM/SERVICE with --path
+    :param path: path of a call to a plain service
+    :param method: method of a call to a plain service
+    :param rank: rank that the caller asks for
+    :param request_id: request id, which decides between replicas of equal cost
+    :param json: print JSON instead of a table
+    :param address: operator address IP:PORT (default: $FILBERTYARD_HOST)
+    :param key: operator key (default: $FILBERTYARD_KEY)
+    """
+    parameters = {
+        "target": target,
+        "path": path,
+        "method": method,
+        "rank": rank,
+        "request": request_id,
+    }
+    show = None if json else show_route
+    return run_query("/operator/route", parameters, show, address, key)
+
+
 @query
 def events(
     *,
@@ -144,6 +181,37 @@
     print_table(("TIME", "HOST", "STEP", "FIGURES"), rows)
 
 
+def show_route(value: dict[str, t.Any]) -> None:
+    """Print the candidates for a call and the choice."""
+    subject = value["adapter"] or value["upstream"]
+    print(
+        f"{subject}, rank {value['rank']} (target {value['target_s']:g} s), "
+        f"settings revision {value['revision']}, asked {value['host']} "
+        f"in {value['zone']}\n"
+    )
+    rows = [
+        (
+            item["replica"],
+            item["zone"] or "-",
+            item["owner"],
+            "yes" if item["resident"] else "no",
+            *(f"{item[name]:.3f}" for name in ("wait_s", "crossing_s", "cost_s")),
+            "chosen" if item["replica"] == value["chosen"] else "",
+        )
+        for item in value["candidates"]
+    ]
+    rows += [
+        (replica, "-", "-", "-", "-", "-", "-", cause)
+        for replica, cause in value["excluded"].items()
+    ]
+    headings = ("REPLICA", "ZONE", "OWNER", "RESIDENT", "WAIT", "ZONE PRICE", "COST")
+    print_table((*headings, ""), rows)
+    if value["refusal"]:
+        print(f"\nrejected: {value['refusal']}: {value['detail']}")
+    if not value["accepts_calls"]:
+        print(f"\n{value['host']} stops and takes no calls")
+
+
 def show_events(value: dict[str, t.Any]) -> None:
     """Print events."""
     rows = [
--- a/src/filbertyard/host.py
+++ b/src/filbertyard/host.py
@@ -19,6 +19,7 @@
 
 from . import commands as commands
 from . import queries as queries
+from . import routepreviews as routepreviews
 from . import settingsqueries as settingsqueries
 from .attemptlog import QUESTION_TIMEOUT_S
 from .attemptlog import AttemptAnswer
--- a/src/filbertyard/routing.py
+++ b/src/filbertyard/routing.py
@@ -67,9 +67,37 @@
     is_other_zone: bool = False
 
 
+@dataclass(slots=True)
+class RouteEstimate:
+    """What a call would cost at one replica; times are in seconds.
+
+    `crossing_s` is the part of the cost that is the price of another zone.
+    """
+
+    view: ReplicaView
+    wait_s: float = 0.0
+    is_resident: bool = False
+    crossing_s: float = 0.0
+    cost_s: float = 0.0
+
+
+def find_cheapest(estimates: list[RouteEstimate]) -> ReplicaView | None:
+    """Return the replica with the lowest cost, the first of several."""
+    best = min(estimates, key=lambda item: item.cost_s, default=None)
+    return best.view if best is not None else None
+
+
 class Router(Protocol):
     """A routing policy."""
 
+    def estimate(
+        self, call: Call, views: list[ReplicaView], tried: set[str]
+    ) -> list[RouteEstimate]:
+        """Return the replicas that may run a call; `choose` takes the cheapest.
+
+        The first of several with the same cost is chosen.
+        """
+
     def choose(
         self, call: Call, views: list[ReplicaView], tried: set[str]
     ) -> ReplicaView | None:
@@ -121,15 +149,23 @@
     def __init__(self, zone_price: ZonePrice) -> None:
         self.turn = 0
 
+    def estimate(
+        self, call: Call, views: list[ReplicaView], tried: set[str]
+    ) -> list[RouteEstimate]:
+        """Return the replicas in the order of their turns."""
+        candidates = usable_replicas(views, tried)
+        start = (self.turn + 1) % len(candidates) if candidates else 0
+        return [RouteEstimate(view) for view in candidates[start:] + candidates[:start]]
+
     def choose(
         self, call: Call, views: list[ReplicaView], tried: set[str]
     ) -> ReplicaView | None:
         """Return the next replica in turn."""
-        candidates = usable_replicas(views, tried)
-        if not candidates:
+        estimates = self.estimate(call, views, tried)
+        if not estimates:
             return None
         self.turn += 1
-        return candidates[self.turn % len(candidates)]
+        return estimates[0].view
 
     def observe(self, call: Call, replica: str, reply: Reply) -> None:
         """Ignore the reply: this policy keeps no routing state."""
@@ -161,27 +197,30 @@
         self, call: Call, views: list[ReplicaView], tried: set[str]
     ) -> ReplicaView | None:
         """Return the replica of least cost that is not expected to reject the call."""
+        return find_cheapest(self.estimate(call, views, tried))
+
+    def estimate(
+        self, call: Call, views: list[ReplicaView], tried: set[str]
+    ) -> list[RouteEstimate]:
+        """Return the replicas that are not expected to reject the call."""
         now = self.clock()
         candidates = [
             view
             for view in usable_replicas(views, tried)
             if not self.is_avoided(view, call, now)
         ]
-        if not candidates:
-            return None
         adapter = call.adapter
         crossing_s = self.crossing_s(call, candidates, now)
+        estimates = []
         if adapter is None:
-            order = rendezvous_order(call.request_id, candidates)
-            return min(
-                order,
-                key=lambda view: (
-                    self.wait_s(view, call.rank.name, now)
-                    + crossing_s * view.is_other_zone
-                ),
-            )
+            for view in rendezvous_order(call.request_id, candidates):
+                wait_s = self.wait_s(view, call.rank.name, now)
+                price_s = crossing_s * view.is_other_zone
+                estimates.append(
+                    RouteEstimate(view, wait_s, False, price_s, wait_s + price_s)
+                )
+            return estimates
         last_served = self.holders.get(adapter, {})
-        best: tuple[float, ReplicaView] | None = None
         for place, view in enumerate(home_order(adapter, candidates)):
             is_held = adapter in view.adapters or (
                 not view.adapters
@@ -190,16 +229,18 @@
             # Replicas beyond the homes cost more, so that an adapter spreads only while
             # the waits at its homes are longer than a load.
             spread = max(0, place - HOME_REPLICAS + 1)
-            cost = self.wait_s(view, call.rank.name, now) + HOP_S * (not view.is_local)
+            wait_s = self.wait_s(view, call.rank.name, now)
+            cost = wait_s + HOP_S * (not view.is_local)
             if not is_held:
                 cost += LOAD_COST_S + SPREAD_COST_S * spread
             # Costs are rounded to steps: smaller differences are noise, and the calls
             # of an adapter should stay at one replica.
             cost = round(cost / COST_STEP_S) * COST_STEP_S
-            cost += crossing_s * view.is_other_zone
-            if best is None or cost < best[0]:
-                best = (cost, view)
-        return best[1] if best is not None else None
+            price_s = crossing_s * view.is_other_zone
+            estimates.append(
+                RouteEstimate(view, wait_s, is_held, price_s, cost + price_s)
+            )
+        return estimates
 
     def crossing_s(
         self, call: Call, candidates: list[ReplicaView], now: float
--- a/tests/test_observation.py
+++ b/tests/test_observation.py
@@ -1,5 +1,6 @@
 """Events, metrics, traces and the operator's view of a fleet."""
 
+import json
 import os
 import subprocess
 import sys
@@ -15,6 +16,8 @@
 
 from filbertyard import ctlqueries
 from filbertyard import events
+from filbertyard.attempts import failure_scopes
+from filbertyard.breakers import FAILURES_TO_OPEN
 from filbertyard.breakers import Breakers
 from filbertyard.breakers import replica_scope
 from filbertyard.events import CircuitEvent
@@ -31,6 +34,8 @@
 from filbertyard.metrics import Metrics
 from filbertyard.operators import OperatorApplication
 from filbertyard.queries import Query
+from filbertyard.routepreviews import create_preview_call
+from filbertyard.routing import ReplicaView
 from filbertyard.settingsstore import SettingsStore
 from filbertyard.standins.hostlist import HostListEntry
 from filbertyard.standins.hostlist import HostListStandin
@@ -326,3 +331,37 @@
         os.close(writer)
     assert done.stderr == b""
     assert done.returncode == status
+
+
+def test_operator_sees_where_a_call_would_go(
+    operated: tuple[LocalFleet, str], capsys: pytest.CaptureFixture[str]
+) -> None:
+    """Guard against an explanation that differs from the choice, or sends the call."""
+    fleet, address = operated
+    host = fleet.hosts["entry-1"]
+    options = {"address": address, "key": KEY}
+    team, settings = next(
+        item for item in host.snapshot().teams.items() if item[1].adapters
+    )
+    target = f"{team}/{next(iter(settings.adapters))}"
+    attempt_numbers = next(host.attempts.numbers)
+    assert ctlqueries.route(target, json=True, **options) == 0
+    value = json.loads(capsys.readouterr().out)
+    assert next(host.attempts.numbers) == attempt_numbers + 1
+    resolved = host.snapshot().resolve_model(target)
+    call = create_preview_call(resolved, value["revision"], "POST", "", "preview")
+    chosen = host.attempts.choose(call, set())
+    assert isinstance(chosen, ReplicaView)
+    assert value["chosen"] == chosen.name
+    listed = {item["replica"] for item in value["candidates"]}
+    assert listed == {view.name for view in host.views(call.upstream)}
+    for scope in failure_scopes(call, chosen):
+        for _ in range(FAILURES_TO_OPEN):
+            host.attempts.breakers.record_failure(scope)
+    assert ctlqueries.route(target, **options) == 0
+    shown = capsys.readouterr().out
+    row = next(line for line in shown.splitlines() if line.startswith(chosen.name))
+    assert row.endswith("circuit_open")
+    assert " chosen" in shown
+    assert KEY not in shown
+    assert ctlqueries.route("nobody/nothing", **options) == 1
