Show where a gateway would send a request, without sending it

`filbertyardctl gateway-route HOST PATH` asks a gateway host at its metrics address for the candidates of a request, their estimates, the price of their zone and the choice, from the functions that decide for callers. Nothing is sent, counted or taken from budgets, quotas or rate limits. Workspaces are named; API keys are neither taken nor shown. The addresses that callers reach do not answer it.

`pytest tests/test_gateway_previews.py tests/test_observation.py`

--- a/src/filbertyard/ctlqueries.py
+++ b/src/filbertyard/ctlqueries.py
@@ -13,6 +13,7 @@
 
 from .ctlclient import EXIT_OK
 from .ctlclient import EXIT_PARTIAL
+from .ctlclient import OperatorClient
 from .ctlclient import create_operator_client
 from .ctlclient import fail
 from .ctlclient import print_json
@@ -20,6 +21,12 @@
 
 QUERIES: list[Callable[..., int]] = []
 
+# Path of previews at the metrics address of a gateway.
+PREVIEW_PATH = "/route"
+
+# A key that no host accepts.
+NO_KEY = "none"
+
 # Fields of an event that have a column of their own in the table.
 EVENT_COLUMNS = ("at", "host", "kind", "cause", "adapter", "upstream", "peer")
 
@@ -36,7 +43,13 @@
     path: str, parameters: dict[str, str], show: Show | None, address: str, key: str
 ) -> int:
     """Send a request, show the response and return the exit status."""
-    client = create_operator_client(address, key)
+    return show_answer(create_operator_client(address, key), path, parameters, show)
+
+
+def show_answer(
+    client: OperatorClient, path: str, parameters: dict[str, str], show: Show | None
+) -> int:
+    """Send a request, show the response and return the exit status."""
     given = {name: value for name, value in parameters.items() if value}
     match client.request("GET", f"{path}?{urlencode(given)}"):
         case Ok(value):
@@ -118,6 +131,47 @@
     return run_query("/operator/route", parameters, show, address, key)
 
 
+@query
+def gateway_route(
+    host: str,
+    path: str,
+    *,
+    adapter: str = "",
+    workspace: str = "",
+    request_id: str = "",
+    body_bytes: int = 0,
+    json: bool = False,
+    address: str = "",
+) -> int:
+    """Show where a gateway would send a request now and why, without sending it.
+
+    The queried host decides as for a caller of its own. Neither quotas nor owners are
+    asked, so that nothing is taken from them. Exit status 0, 1 if route or workspace
+    are not in the configuration, 2 for wrong usage, 3 if the host cannot be reached.
+
+    :param host: name that the caller puts into the Host header
+    :param path: path of the request
+    :param adapter: MODEL/ADAPTER, or MODEL for the model itself
+    :param workspace: name of the caller's workspace, which decides the rank
+    :param request_id: request id, which decides between holders of an adapter
+    :param body_bytes: size of the body, which may be part of the price of a zone
+    :param json: print JSON instead of a table
+    :param address: metrics address IP:PORT of a gateway (default: $FILBERTYARD_HOST)
+    """
+    parameters = {
+        "host": host,
+        "path": path,
+        "adapter": adapter,
+        "workspace": workspace,
+        "request": request_id,
+        "body_bytes": str(body_bytes or ""),
+    }
+    # The metrics address needs no key, so none is sent over the network.
+    client = create_operator_client(address, NO_KEY)
+    show = None if json else show_gateway_route
+    return show_answer(client, PREVIEW_PATH, parameters, show)
+
+
 @query
 def events(
     *,
@@ -212,6 +266,42 @@
         print(f"\n{value['host']} stops and takes no calls")
 
 
+def show_gateway_route(value: dict[str, t.Any]) -> None:
+    """Print the candidates for a request and the choice."""
+    print(
+        f"route {value['route']}, service {value['service']}, rank {value['rank']} "
+        f"(objective {value['objective_s']:g} s), "
+        f"configuration {value['configuration']}, asked in {value['zone']}\n"
+    )
+    columns = [name for name in next(iter(value["candidates"]), {}) if name != "zone"]
+    rows = [
+        [
+            *(format_cell(item[name]) for name in ("zone", *columns)),
+            "chosen" if item["replica"] == value["chosen"] else "",
+        ]
+        for item in value["candidates"]
+    ]
+    if rows:
+        print_table([*(name.upper() for name in ("zone", *columns)), ""], rows)
+    for replica, cause in value["excluded"].items():
+        print(f"left out: {replica} ({cause})")
+    if not value["chosen"]:
+        print("\nno replica can run the request now")
+    if not value["accepts_requests"]:
+        print("\nthe host stops and takes no requests")
+
+
+def format_cell(value: object) -> str:
+    """Return a value of a table."""
+    if isinstance(value, bool):
+        return "yes" if value else "no"
+    return (
+        f"{value:.3f}"
+        if isinstance(value, float)
+        else str("-" if value is None else value)
+    )
+
+
 def show_events(value: dict[str, t.Any]) -> None:
     """Print events."""
     rows = [
--- a/src/filbertyard/gateway/host.py
+++ b/src/filbertyard/gateway/host.py
@@ -39,6 +39,7 @@
 from .messages import FirstEvent
 from .owner import ReplicaOwner
 from .placement import Candidate
+from .previews import PreviewApplication
 from .promptguard import PromptGuard
 from .ratelimiter import RateLimiter
 from .ratelimits import RateLimitTable
@@ -184,9 +185,13 @@
         settings = self.settings
         limits = self.caller_limits()
         self.servers.append(create_caller_server(settings.callers, self.entry, limits))
+        previews = PreviewApplication(self.entry, self.directory)
         addresses = {settings.directory, settings.readiness, settings.metrics} - {""}
         for address in addresses:
-            self.servers.append(create_caller_server(address, self.directory, limits))
+            # Callers reach the other addresses and must not see the fleet's loads.
+            is_public = address in (settings.directory, settings.readiness)
+            application = self.directory if is_public else previews
+            self.servers.append(create_caller_server(address, application, limits))
         for server in self.servers:
             server.start()
         self.peers.start()
