--- a/src/filbertyard/gateway/host.py
+++ b/src/filbertyard/gateway/host.py
@@ -21,6 +21,7 @@
 from ..metrics import Metrics
 from ..peers import STREAM_BROKE
 from ..peers import PeerNetwork
+from ..zonecosts import arriving_share
 from .admission import max_prefill_backlog_s
 from .claims import Registrar
 from .claims import boot_clock
@@ -41,6 +42,7 @@
 from .messages import FirstEvent
 from .owner import ReplicaOwner
 from .placement import Candidate
+from .previews import PreviewApplication
 from .promptguard import PromptGuard
 from .ratelimiter import RateLimiter
 from .ratelimits import RateLimitTable
@@ -151,6 +153,7 @@
             settings.availability_zone,
             self.confirmer,
             access_policy(bounds),
+            settings.zone_price,
         )
         self.directory = DirectoryApplication(self, wire, bounds.address_ttl_s)
         batch_intervals = {
@@ -199,9 +202,13 @@
         settings = self.settings
         limits = self.caller_limits()
         self.servers.append(create_caller_server(settings.callers, self.entry, limits))
+        previews = PreviewApplication(self.entry, self.directory)
         addresses = {settings.directory, settings.readiness, settings.metrics} - {""}
         for address in addresses:
-            self.servers.append(create_caller_server(address, self.directory, limits))
+            # Callers reach the other addresses and must not see the fleet's loads.
+            is_public = address in (settings.directory, settings.readiness)
+            application = self.directory if is_public else previews
+            self.servers.append(create_caller_server(address, application, limits))
         for server in self.servers:
             server.start()
         self.peers.start()
@@ -272,6 +279,11 @@
         """Tell if what other hosts publish may still be missing."""
         return self.fleet.is_new()
 
+    def arriving_share(self) -> float:
+        """Return the share of the fleet's requests that arrive in this zone."""
+        zone = self.settings.availability_zone
+        return arriving_share(zone, self.fleet.expected_zones())
+
     def caller_addresses(self, zone: str) -> list[str]:
         """Return the addresses where callers of a zone should connect, at least one."""
         found = self.fleet.caller_addresses()
--- a/src/filbertyard/routing.py
+++ b/src/filbertyard/routing.py
@@ -19,6 +19,8 @@
 from .messages import NotRun
 from .messages import Reply
 from .messages import Started
+from .zonecosts import ZonePrice
+from .zonecosts import limit_price_s
 
 # Home replicas of an adapter: the first ones in `home_order`. Calls spread to others
 # only when the waits at the homes are long.
@@ -62,11 +64,40 @@
     waits: dict[str, float] = field(default_factory=dict)
     zone: str = ""
     is_local: bool = False
+    is_other_zone: bool = False
+
+
+@dataclass(slots=True)
+class RouteEstimate:
+    """What a call would cost at one replica; times are in seconds.
+
+    `crossing_s` is the part of the cost that is the price of another zone.
+    """
+
+    view: ReplicaView
+    wait_s: float = 0.0
+    is_resident: bool = False
+    crossing_s: float = 0.0
+    cost_s: float = 0.0
+
+
+def find_cheapest(estimates: list[RouteEstimate]) -> ReplicaView | None:
+    """Return the replica with the lowest cost, the first of several."""
+    best = min(estimates, key=lambda item: item.cost_s, default=None)
+    return best.view if best is not None else None
 
 
 class Router(Protocol):
     """A routing policy."""
 
+    def estimate(
+        self, call: Call, views: list[ReplicaView], tried: set[str]
+    ) -> list[RouteEstimate]:
+        """Return the replicas that may run a call; `choose` takes the cheapest.
+
+        The first of several with the same cost is chosen.
+        """
+
     def choose(
         self, call: Call, views: list[ReplicaView], tried: set[str]
     ) -> ReplicaView | None:
@@ -76,10 +107,10 @@
         """Update the routing state from a reply of the replica's owner."""
 
 
-ROUTING_POLICIES: dict[str, Callable[[], Router]] = {}
+ROUTING_POLICIES: dict[str, Callable[[ZonePrice], Router]] = {}
 
 
-R = TypeVar("R", bound=Callable[[], Router])
+R = TypeVar("R", bound=Callable[[ZonePrice], Router])
 
 
 def routing_policy(name: str) -> Callable[[R], R]:
@@ -92,9 +123,9 @@
     return register
 
 
-def create_router(policy: str) -> Router:
-    """Return a router of the policy `policy`."""
-    return ROUTING_POLICIES[policy]()
+def create_router(policy: str, zone_price: ZonePrice | None = None) -> Router:
+    """Return a router of the policy `policy`, with a price of leaving the zone."""
+    return ROUTING_POLICIES[policy](zone_price or ZonePrice())
 
 
 def rendezvous_weight(key: str, name: str) -> int:
@@ -115,18 +146,26 @@
 class RoundRobin:
     """Use the replicas in turn."""
 
-    def __init__(self) -> None:
+    def __init__(self, zone_price: ZonePrice) -> None:
         self.turn = 0
 
+    def estimate(
+        self, call: Call, views: list[ReplicaView], tried: set[str]
+    ) -> list[RouteEstimate]:
+        """Return the replicas in the order of their turns."""
+        candidates = usable_replicas(views, tried)
+        start = (self.turn + 1) % len(candidates) if candidates else 0
+        return [RouteEstimate(view) for view in candidates[start:] + candidates[:start]]
+
     def choose(
         self, call: Call, views: list[ReplicaView], tried: set[str]
     ) -> ReplicaView | None:
         """Return the next replica in turn."""
-        candidates = usable_replicas(views, tried)
-        if not candidates:
+        estimates = self.estimate(call, views, tried)
+        if not estimates:
             return None
         self.turn += 1
-        return candidates[self.turn % len(candidates)]
+        return estimates[0].view
 
     def observe(self, call: Call, replica: str, reply: Reply) -> None:
         """Ignore the reply: this policy keeps no routing state."""
@@ -144,7 +183,10 @@
 class CostRouter:
     """Choose the replica with the least expected wait, including adapter loads."""
 
-    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+    def __init__(
+        self, zone_price: ZonePrice, clock: Callable[[], float] = time.monotonic
+    ) -> None:
+        self.zone_price = zone_price
         self.clock = clock
         self.waits: dict[tuple[str, str], ReportedWait] = {}
         # Time until which a replica is avoided, by replica, rank and team.
@@ -155,20 +197,30 @@
         self, call: Call, views: list[ReplicaView], tried: set[str]
     ) -> ReplicaView | None:
         """Return the replica of least cost that is not expected to reject the call."""
+        return find_cheapest(self.estimate(call, views, tried))
+
+    def estimate(
+        self, call: Call, views: list[ReplicaView], tried: set[str]
+    ) -> list[RouteEstimate]:
+        """Return the replicas that are not expected to reject the call."""
         now = self.clock()
         candidates = [
             view
             for view in usable_replicas(views, tried)
             if not self.is_avoided(view, call, now)
         ]
-        if not candidates:
-            return None
         adapter = call.adapter
+        crossing_s = self.crossing_s(call, candidates, now)
+        estimates = []
         if adapter is None:
-            order = rendezvous_order(call.request_id, candidates)
-            return min(order, key=lambda view: self.wait_s(view, call.rank.name, now))
+            for view in rendezvous_order(call.request_id, candidates):
+                wait_s = self.wait_s(view, call.rank.name, now)
+                price_s = crossing_s * view.is_other_zone
+                estimates.append(
+                    RouteEstimate(view, wait_s, False, price_s, wait_s + price_s)
+                )
+            return estimates
         last_served = self.holders.get(adapter, {})
-        best: tuple[float, ReplicaView] | None = None
         for place, view in enumerate(home_order(adapter, candidates)):
             is_held = adapter in view.adapters or (
                 not view.adapters
@@ -177,15 +229,35 @@
             # Replicas beyond the homes cost more, so that an adapter spreads only while
             # the waits at its homes are longer than a load.
             spread = max(0, place - HOME_REPLICAS + 1)
-            cost = self.wait_s(view, call.rank.name, now) + HOP_S * (not view.is_local)
+            wait_s = self.wait_s(view, call.rank.name, now)
+            cost = wait_s + HOP_S * (not view.is_local)
             if not is_held:
                 cost += LOAD_COST_S + SPREAD_COST_S * spread
             # Costs are rounded to steps: smaller differences are noise, and the calls
             # of an adapter should stay at one replica.
             cost = round(cost / COST_STEP_S) * COST_STEP_S
-            if best is None or cost < best[0]:
-                best = (cost, view)
-        return best[1] if best is not None else None
+            price_s = crossing_s * view.is_other_zone
+            estimates.append(
+                RouteEstimate(view, wait_s, is_held, price_s, cost + price_s)
+            )
+        return estimates
+
+    def crossing_s(
+        self, call: Call, candidates: list[ReplicaView], now: float
+    ) -> float:
+        """Return the price of another zone for a call, in seconds of waiting."""
+        if not self.zone_price.is_set:
+            return 0.0
+        waits = [
+            self.wait_s(view, call.rank.name, now)
+            for view in candidates
+            if view.is_other_zone
+        ]
+        return limit_price_s(
+            self.zone_price.crossing_s(len(call.body)),
+            call.rank.target_s,
+            min(waits, default=math.inf),
+        )
 
     def wait_s(self, view: ReplicaView, rank: str, now: float) -> float:
         """Return the newest known wait of a rank at a replica in seconds."""
