Count the quotas of workspaces over all hosts

Nothing held the quotas of workspaces: a workspace could use any rate. One host of the fleet, selected by hash as for permits, counts each workspace in a token bucket; others ask it once for each request. A request that did not run returns its amount, one over the quota gets a 429 with the time at which the rate serves it.

--- a/src/filbertyard/gateway/entry.py
+++ b/src/filbertyard/gateway/entry.py
@@ -42,6 +42,8 @@
 from .placement import estimate_first_event_s
 from .placement import order_plain
 from .promptguard import PromptGuard
+from .quotahosts import OVER_QUOTA
+from .quotahosts import QuotaHosts
 from .ratelimiter import PERMIT_S
 from .ratelimiter import RATE_LIMIT_ENDED
 from .ratelimiter import Permit
@@ -153,6 +155,7 @@
         owners: OwnerClient,
         guard: PromptGuard,
         limiter: RateLimiter,
+        quotas: QuotaHosts,
         budget: RetryBudget,
         metrics: Metrics,
         zone: str,
@@ -162,6 +165,7 @@
         self.owners = owners
         self.guard = guard
         self.limiter = limiter
+        self.quotas = quotas
         self.budget = budget
         self.metrics = metrics
         self.zone = zone
@@ -308,12 +312,27 @@
         self.budget.record_request(service, request.arrived)
         known = configuration.services.get(service)
         with handler.watch_disconnect():
-            if known is not None and known.engine is not None:
-                try:
-                    return self.call_engine(delivery, service)
-                finally:
-                    self.guard.end_probe(delivery)
-            return self.call_plain(delivery, service)
+            try:
+                rejection = self.acquire_quota(delivery)
+                if rejection is not None:
+                    return self.reject_quota(delivery, rejection)
+                if known is not None and known.engine is not None:
+                    try:
+                        return self.call_engine(delivery, service)
+                    finally:
+                        self.guard.end_probe(delivery)
+                return self.call_plain(delivery, service)
+            finally:
+                if not delivery.sends:
+                    self.quotas.give_back(delivery)
+
+    def acquire_quota(self, delivery: Delivery) -> Rejection | None:
+        """Ask for a request's share of its workspace's quota, unless the host stops."""
+        with self.awaiting(delivery):
+            try:
+                return self.quotas.acquire(delivery)
+            except AdmissionWithdrawnError as error:
+                return Rejection(error.message, STOPPING_RETRY_AFTER_S)
 
     def await_start(self, arrived: float) -> None:
         """Wait shortly until a host that has just started knows routes and replicas."""
@@ -785,12 +804,28 @@
         delivery.status = 503
         if delivery.left_s() <= 0 and not delivery.causes:
             delivery.causes.append("deadline")
+        self.quotas.give_back(delivery)
         self.record_end(delivery, "not_run")
         detail = "not run: " + (",".join(delivery.causes) or "no replica available")
         return self.send_error(
             delivery.start_response, 503, delivery.request.id, detail, wait_s
         )
 
+    def reject_quota(self, delivery: Delivery, rejection: Rejection) -> list[bytes]:
+        """Tell the caller that its workspace is over its quota and when to retry."""
+        delivery.causes.append(rejection.cause)
+        if rejection.cause != OVER_QUOTA:
+            return self.reject_not_run(delivery, rejection.retry_after_s)
+        delivery.status = 429
+        self.record_end(delivery, "over_quota")
+        return self.send_error(
+            delivery.start_response,
+            429,
+            delivery.request.id,
+            "not run: over the quota",
+            rejection.retry_after_s,
+        )
+
     def respond_unknown(self, delivery: Delivery) -> list[bytes]:
         """Tell the caller that it is unknown whether the request ran."""
         status = 504 if delivery.left_s() <= 0 else 502
--- a/src/filbertyard/gateway/fleet.py
+++ b/src/filbertyard/gateway/fleet.py
@@ -18,6 +18,7 @@
 from .hubs import MAX_MESH_HOSTS
 from .hubs import all_hubs
 from .hubs import is_hub_for
+from .hubs import rendezvous_order
 from .hubs import watches_store
 from .messages import Digest
 from .messages import FeedPush
@@ -209,6 +210,17 @@
                     found.setdefault(key, host.availability_zone)
         return found
 
+    def selected_hosts(self, key: str) -> list[str]:
+        """Return the hosts in the order in which they decide what `key` names."""
+        hosts = set(self.expected_zones())
+        if len(hosts) > 1 and self.describe().is_leaving:
+            hosts.discard(self.id)
+        return rendezvous_order(key, hosts)
+
+    def is_minority(self) -> bool:
+        """Tell if this host does not hear most of the others: they may decide alone."""
+        return 2 * len(self.expected_zones()) <= len(self.state.hosts)
+
     def hubs(self) -> dict[str, str]:
         """Return the hubs of a large fleet and their availability zones."""
         zones = self.expected_zones()
--- a/src/filbertyard/gateway/host.py
+++ b/src/filbertyard/gateway/host.py
@@ -39,6 +39,7 @@
 from .owner import ReplicaOwner
 from .placement import Candidate
 from .promptguard import PromptGuard
+from .quotahosts import QuotaHosts
 from .ratelimiter import RateLimiter
 from .ratelimits import RateLimitTable
 from .retrybudget import create_retry_budget
@@ -125,12 +126,14 @@
         self.limiter = RateLimiter(
             self.fleet, self.peers, self.state, self.rate_limits, self.metrics
         )
+        self.quotas = QuotaHosts(self.fleet, self.peers, self.state, self.metrics)
         self.entry = EntryApplication(
             wire,
             self.state,
             self,
             self.guard,
             self.limiter,
+            self.quotas,
             self.budget,
             self.metrics,
             settings.availability_zone,
@@ -191,7 +194,7 @@
         tasks = [watcher.run for watcher in self.watchers]
         tasks += [self.registrar.run, self.registrar.run_claims]
         tasks += [self.fleet.run, self.loads.run, self.run_owners, self.guard.run]
-        tasks += [self.limiter.run, self.limiter.run_permits]
+        tasks += [self.limiter.run, self.limiter.run_permits, self.quotas.run]
         self.tasks = [gevent.spawn(task) for task in tasks]
         log_event(
             logger,
--- a/src/filbertyard/gateway/messages.py
+++ b/src/filbertyard/gateway/messages.py
@@ -263,6 +263,44 @@
     request_id: str
 
 
+@message("gateway_quota_request")
+@dataclass(slots=True)
+class QuotaRequest(Message):
+    """Ask the counting host of a workspace for requests; the reply comes at once.
+
+    A row has the fields of a `QuotaAmount`. `version`, `per_s` and `burst` are the
+    quota as the asking host knows it. A relayed message is not sent on again.
+    """
+
+    workspace: str
+    version: int
+    per_s: float
+    burst: float
+    rows: list[list[Any]]
+    is_relayed: bool = False
+
+
+@message("gateway_quota_reply")
+@dataclass(slots=True)
+class QuotaReply(Message):
+    """Decide on requests, in their order; a row has the fields of a `QuotaDecision`.
+
+    `host` is the one that decided, empty if none may.
+    """
+
+    host: str
+    rows: list[list[Any]]
+
+
+@message("gateway_quota_return")
+@dataclass(slots=True)
+class QuotaReturn(Message):
+    """Return what requests of a workspace were allowed to use and did not."""
+
+    workspace: str
+    amount: float
+
+
 @message("gateway_prompt_crash")
 @dataclass(slots=True)
 class PromptCrash(Message):
--- a/src/filbertyard/gateway/ratelimiter.py
+++ b/src/filbertyard/gateway/ratelimiter.py
@@ -30,7 +30,6 @@
 from .delivery import PERMIT_EXPIRED
 from .delivery import Delivery
 from .fleet import Fleet
-from .hubs import rendezvous_order
 from .messages import PermitReply
 from .messages import PermitRequest
 from .messages import PermitWithdrawn
@@ -221,10 +220,7 @@
 
     def permit_hosts(self, service: str) -> list[str]:
         """Return the hosts in the order in which they grant permits for a service."""
-        hosts = set(self.fleet.expected_zones())
-        if len(hosts) > 1 and self.fleet.describe().is_leaving:
-            hosts.discard(self.fleet.id)
-        return rendezvous_order(f"permits {service}", hosts)
+        return self.fleet.selected_hosts(f"permits {service}")
 
     def permit_host(self, service: str) -> str:
         """Return the host that grants the permits for a plain service.
@@ -232,7 +228,7 @@
         Empty if this host does not hear most of the others: they may use
         another one.
         """
-        if 2 * len(self.fleet.expected_zones()) <= len(self.state.hosts):
+        if self.fleet.is_minority():
             return ""
         return self.permit_hosts(service)[0]
 
--- a/src/filbertyard/gateway/ratelimits.py
+++ b/src/filbertyard/gateway/ratelimits.py
@@ -25,9 +25,10 @@
 
 
 class TokenBucket:
-    """Requests that a rate limit allows; `now` is on the monotonic clock.
+    """Requests or tokens that a rate allows; `now` is on the monotonic clock.
 
-    It starts empty, as the requests that have just been sent are not known.
+    It starts empty, as the requests that have just been sent are not known. It holds
+    `burst`, or what `BURST_S` of the rate allows.
     """
 
     def __init__(self, per_s: float, now: float, burst: float | None = None) -> None:
@@ -39,8 +40,9 @@
     @property
     def burst(self) -> float:
         """Return the most tokens that the bucket holds."""
-        burst = max(1.0, BURST_S * self.per_s)
-        return burst if self.max_burst is None else min(burst, self.max_burst)
+        if self.max_burst is not None:
+            return self.max_burst
+        return max(1.0, BURST_S * self.per_s)
 
     def available(self, now: float) -> float:
         """Return the tokens at a time."""
@@ -53,19 +55,28 @@
         self.per_s = per_s
         self.tokens = min(self.tokens, self.burst)
 
-    def wait_s(self, now: float, requests: int = 1) -> float:
-        """Return the time until this many requests could have been sent."""
-        missing = requests - self.available(now)
+    def wait_s(self, now: float, amount: float = 1.0) -> float:
+        """Return the time until the bucket holds this much."""
+        missing = amount - self.available(now)
         return missing / self.per_s if missing > TOKEN_TOLERANCE else 0.0
 
     def take(self, now: float) -> bool:
         """Take a token if there is one; tell if there was."""
         if self.wait_s(now) > 0:
             return False
-        self.tokens = self.available(now) - 1.0
-        self.at = max(self.at, now)
+        self.charge(1.0, now)
         return True
 
+    def charge(self, amount: float, now: float) -> None:
+        """Take an amount, also one that the bucket does not hold; negative returns."""
+        self.tokens = min(self.burst, self.available(now) - amount)
+        self.at = max(self.at, now)
+
+    def empty(self, now: float) -> None:
+        """Drop what the bucket holds; a debt stays."""
+        self.tokens = min(0.0, self.available(now))
+        self.at = max(self.at, now)
+
 
 @dataclass(frozen=True, slots=True)
 class Statement:
--- a/src/filbertyard/metrics.py
+++ b/src/filbertyard/metrics.py
@@ -44,6 +44,7 @@
     "filbertyard_first_tokens_in_target_total": "First tokens within their target.",
     "filbertyard_tokens_total": "Parts of streamed responses relayed to callers.",
     "filbertyard_rejections_total": "Attempts on replicas of this host not run.",
+    "filbertyard_quota_refusals_total": "Requests over the quota of a workspace.",
     "filbertyard_retries_total": "Attempts after the first one of a request.",
     "filbertyard_load_stalls_total": "Dispatched calls that waited for a load.",
     "filbertyard_loads_total": "Adapter loads by outcome.",
@@ -63,6 +64,7 @@
     "filbertyard_load_stall_seconds": "Queue wait of calls that needed a load.",
     "filbertyard_load_seconds": "Duration of adapter loads.",
     "filbertyard_permit_wait_seconds": "Wait for a permit of the load budget.",
+    "filbertyard_quota_wait_seconds": "Wait for the quota of a workspace by rank.",
 }
 
 
