Refuse all kinds of request alike over the quota of a workspace

All kinds now wait alike. A host that has not read the list of hosts yet no longer takes itself for cut off.

--- a/src/filbertyard/gateway/quotahosts.py
+++ b/src/filbertyard/gateway/quotahosts.py
@@ -141,9 +141,9 @@
         self, name: str, limit: QuotaLimit, amount: float, delivery: Delivery
     ) -> tuple[str, QuotaDecision | None]:
         """Return the decision on a request and the host that took it, if any did."""
-        route, arrived = delivery.route, delivery.request.arrived
-        objective_s = arrived + route.objective_s - time.monotonic()
-        asked = QuotaAmount(amount, route.rank, objective_s, delivery.left_s())
+        objective_at = delivery.request.arrived + delivery.route.objective_s
+        objective_s = objective_at - time.monotonic()
+        asked = QuotaAmount(amount, objective_s, delivery.left_s())
         pending = PendingAmount(asked)
         waiting = self.pending.get(name)
         if waiting is None:
@@ -221,9 +221,7 @@
         self, name: str, limit: QuotaLimit, amounts: list[QuotaAmount]
     ) -> tuple[str, list[QuotaDecision] | None]:
         """Return the decisions on requests and the host that took them."""
-        rows = [
-            [item.amount, item.rank, item.objective_s, item.left_s] for item in amounts
-        ]
+        rows = [[item.amount, item.objective_s, item.left_s] for item in amounts]
         message = QuotaRequest(name, limit.version, limit.per_s, limit.burst, rows)
         for host in self.hosts_to_ask(name):
             if host == self.fleet.id:
@@ -346,7 +344,8 @@
         if view != self.view:
             self.view = view
             self.orders = {}
-        known = len(self.state.hosts) or len(self.fleet.peer_ids()) + 1
+        # A host that has just started may not have read the list yet.
+        known = len(self.state.hosts) or len(hosts)
         now = boot_clock()
         self.counter.update(
             hosts, minority_fraction(len(hosts), known), self.is_first, now
