--- a/src/filbertyard/gateway/quotahosts.py
+++ b/src/filbertyard/gateway/quotahosts.py
@@ -324,7 +324,10 @@
         """Follow the hosts of the fleet and the configuration, forever."""
         while True:
             configuration = self.state.configuration
-            if configuration is not None and configuration.has_workspaces:
+            if configuration is not None and (
+                configuration.has_workspaces or self.orders
+            ):
+                # Other hosts may know workspaces that this one has not read yet.
                 self.update(configuration)
             gevent.sleep(UPDATE_INTERVAL_S)
 
