Ask the listed hosts when few others are heard

It now asks the hosts that the store lists first. Groups of a third of the hosts or more allow requests larger than what the bucket holds, as there are few such groups.

--- a/src/filbertyard/gateway/quotahosts.py
+++ b/src/filbertyard/gateway/quotahosts.py
@@ -23,6 +23,7 @@
 from .claims import boot_clock
 from .delivery import Delivery
 from .fleet import Fleet
+from .hubs import rendezvous_order
 from .messages import QuotaReply
 from .messages import QuotaRequest
 from .messages import QuotaReturn
@@ -210,12 +211,20 @@
         return self.order(name)[0] == self.fleet.id
 
     def hosts_to_ask(self, name: str) -> list[str]:
-        """Return the hosts that may count a workspace and were not silent of late."""
+        """Return the hosts that may count a workspace and were not silent of late.
+
+        A host that hears few others may have lost only the hubs of its zone, and can
+        still ask those that the store lists.
+        """
         now = time.monotonic()
-        found = [
-            host for host in self.order(name) if self.silent_until.get(host, 0.0) < now
-        ]
-        return found[:MAX_HOSTS_ASKED] or self.order(name)[:1]
+        order = self.order(name)
+        if self.counter.fraction >= 1.0:
+            found = [key for key in order if self.silent_until.get(key, 0.0) < now]
+            return found[:MAX_HOSTS_ASKED] or order[:1]
+        listed = rendezvous_order(f"quota {name}", {*self.state.hosts, order[0]})
+        before = listed[: listed.index(order[0])]
+        found = [key for key in before if self.silent_until.get(key, 0.0) < now]
+        return [*found[: MAX_HOSTS_ASKED - 1], order[0]]
 
     def ask(
         self, name: str, limit: QuotaLimit, amounts: list[QuotaAmount]
--- a/src/filbertyard/gateway/quotas.py
+++ b/src/filbertyard/gateway/quotas.py
@@ -37,6 +37,11 @@
 # uses the whole rate.
 MINORITY_FRACTION = 0.5
 
+# Hosts that may use less than this of the rate allow only what the bucket holds whole.
+# Otherwise each group of hosts that are cut off together could allow one request more;
+# at a third of the hosts or more there are at most three groups.
+STRICT_FRACTION = MINORITY_FRACTION / 3
+
 # Another host may have counted while this one did not run for this long. Shorter pauses
 # are shorter than the time after which others ask another host, and its first grants.
 PAUSE_S = 0.5
@@ -109,7 +114,7 @@
         """Apply the newest known limit, and the fraction of it that holds now."""
         if limit.version >= self.limit.version:
             self.limit = limit
-        self.is_strict = fraction < 1.0
+        self.is_strict = fraction < STRICT_FRACTION
         if self.stands_in or now - self.since < HANDOVER_S:
             fraction *= HANDOVER_FRACTION
         per_s = self.limit.per_s * fraction
@@ -138,8 +143,8 @@
         """Allow a request and charge it, or refuse it.
 
         It may go while the bucket is not in debt, whatever its size: otherwise small
-        requests would always leave too little for large ones. Without a majority of the
-        hosts the bucket must hold it: there may be as many buckets as hosts.
+        requests would always leave too little for large ones. Below `STRICT_FRACTION`
+        the bucket must hold it: there may be as many buckets as hosts.
         """
         self.used_at = max(self.used_at, now)
         wait_s = self.bucket.wait_s(now, asked.amount if self.is_strict else 0.0)
--- a/tests/test_gateway_quotas.py
+++ b/tests/test_gateway_quotas.py
@@ -522,6 +522,26 @@
     assert not over
 
 
+def test_a_host_that_hears_nobody_but_reaches_all_asks_the_counting_host(
+    clock: Clock,
+) -> None:
+    """Regression: hosts that lost the hubs of their zone refused what was left."""
+    simulation = Simulation(clock, 4, 63, RATES)
+    for _ in range(50):
+        simulation.advance(dict.fromkeys(simulation.rates, 1 / 1.8))
+    key = 3
+    first = simulation.hosts["h0"].quotas.order(str(key))[0]
+    deaf = next(host for name, host in simulation.hosts.items() if name != first)
+    deaf.heard = {}
+    deaf.runs_from -= 60.0
+    deaf.quotas.update(simulation.configuration())
+    assert deaf.quotas.counter.fraction < 1.0
+    simulation.allowed.clear()
+    for _ in range(5):
+        simulation.request(deaf, key, 1000.0)
+    assert len(simulation.allowed[key]) == 5
+
+
 def test_a_lower_limit_binds_in_the_whole_fleet(clock: Clock) -> None:
     """Guards against hosts that go on at the rate of an older configuration."""
     simulation = Simulation(clock, 3, 63, RATES)
