Ask the feed hub of the zone before the store for a confirmation

Cause: a host waited for the store's time limit of 1 s before it asked others, while requests wait 0.4 s. Also, each host made calls of the store of its own.

Change: the first feed hub of the zone is asked first, then the store, and others once the store has not answered within 0.1 s.

--- a/src/filbertyard/gateway/confirmation.py
+++ b/src/filbertyard/gateway/confirmation.py
@@ -1,4 +1,8 @@
-"""Confirm that the configuration of this host is the newest one."""
+"""Confirm that the configuration of this host is the newest one.
+
+One feed hub of each availability zone asks the store for the hosts of its zone, so that
+the calls of the store grow with the zones and not with the hosts.
+"""
 
 from __future__ import annotations
 
@@ -38,11 +42,14 @@
 # A host that is asked takes its own confirmation if it is at most this old.
 PEER_MAX_AGE_S = 0.25
 
-PEER_TIMEOUT_S = 0.5
+# Another host, and then the store, may take this long before the next one is asked, so
+# that one of them that is silent does not use up CONFIRMATION_WAIT_S.
+PEER_TIMEOUT_S = 0.12
+STORE_WAIT_S = 0.1
 
 
 class ConfigurationConfirmer:
-    """Ask the store, or else other hosts, for the newest configuration.
+    """Ask a feed hub, the store or other hosts for the newest configuration.
 
     Only one confirmation runs at a time; all who need one wait for it. After a failure
     the next one waits for a delay that grows, so that an outage is met by few calls.
@@ -54,6 +61,7 @@
         store: KeyValue,
         sync: PeerSync,
         peers: PeerNetwork,
+        feed_hub: Callable[[], str],
         connected_hosts: Callable[[], list[str]],
         metrics: Metrics,
     ) -> None:
@@ -61,6 +69,7 @@
         self.store = store
         self.sync = sync
         self.peers = peers
+        self.feed_hub = feed_hub
         self.connected_hosts = connected_hosts
         self.metrics = metrics
         self.confirmed_at = -math.inf
@@ -93,21 +102,26 @@
 
     def run(self, ended: Event) -> None:
         """Confirm the configuration once and wake those who wait for it."""
-        started_at = time.monotonic()
-        source = "none"
         try:
-            if self.confirm_by_store():
-                source = "store"
-            else:
-                age_s = self.ask_peers()
-                if age_s is not None:
-                    source = "peer"
-                    self.confirmed_at = max(self.confirmed_at, started_at - age_s)
-            self.record(source)
+            self.record(self.find_source())
         finally:
             self.ended = None
             ended.set()
 
+    def find_source(self) -> str:
+        """Have the configuration confirmed; return by whom."""
+        hub = self.feed_hub()
+        if hub and self.ask_peer(hub):
+            return "peer"
+        reading = gevent.spawn(self.confirm_by_store)
+        reading.join(STORE_WAIT_S)
+        if reading.value:
+            return "store"
+        others = [host for host in self.connected_hosts() if host != hub]
+        if any(self.ask_peer(host) for host in others[:MAX_PEERS_ASKED]):
+            return "peer"
+        return "store" if reading.get() else "none"
+
     def record(self, source: str) -> None:
         """Record the result of a confirmation; log when it begins or ceases to fail."""
         self.metrics.add("filbertyard_configuration_confirmations_total", source=source)
@@ -168,20 +182,19 @@
             return False
         return self.known_revision() >= revision
 
-    def ask_peers(self) -> float | None:
-        """Return the age of a confirmation by another host, None without any."""
-        for host in self.connected_hosts()[:MAX_PEERS_ASKED]:
-            result = self.peers.call(host, ConfirmConfiguration(), PEER_TIMEOUT_S)
-            if not isinstance(result, Ok):
-                continue
-            reply = result.ok_value
-            if not isinstance(reply, ConfigurationAge) or reply.age_s is None:
-                continue
-            if self.known_revision() < reply.revision:
-                self.sync.fetch(host, self.state.operator_feed)
-            if self.known_revision() >= reply.revision:
-                return reply.age_s
-        return None
+    def ask_peer(self, host: str) -> bool:
+        """Have the configuration confirmed by another host; tell if it was."""
+        asked_at = time.monotonic()
+        result = self.peers.call(host, ConfirmConfiguration(), PEER_TIMEOUT_S)
+        reply = result.ok_value if isinstance(result, Ok) else None
+        if not isinstance(reply, ConfigurationAge) or reply.age_s is None:
+            return False
+        if self.known_revision() < reply.revision:
+            self.sync.fetch(host, self.state.operator_feed)
+        if self.known_revision() < reply.revision:
+            return False
+        self.confirmed_at = max(self.confirmed_at, asked_at - reply.age_s)
+        return True
 
     def handle_confirm(
         self, peer: str, message: ConfirmConfiguration
--- a/src/filbertyard/gateway/fleet.py
+++ b/src/filbertyard/gateway/fleet.py
@@ -19,6 +19,7 @@
 from .hubs import all_hubs
 from .hubs import is_hub_for
 from .hubs import rendezvous_order
+from .hubs import select_feed_hubs
 from .hubs import watches_store
 from .messages import Digest
 from .messages import FeedPush
@@ -158,6 +159,13 @@
             if zone == self.zone
         }
 
+    def feed_hub(self) -> str:
+        """Return the first feed hub of this zone, empty if it is this host."""
+        peers = self.zone_peers()
+        connected = [key for key, is_answered in peers.items() if is_answered]
+        first = select_feed_hubs([*connected, self.id])[0]
+        return first if first != self.id else ""
+
     def connected_hosts(self) -> list[str]:
         """Return the other live hosts that the store answers, those of the zone first.
 
--- a/src/filbertyard/gateway/host.py
+++ b/src/filbertyard/gateway/host.py
@@ -134,6 +134,7 @@
             self.store,
             self.sync,
             self.peers,
+            self.fleet.feed_hub,
             self.fleet.connected_hosts,
             self.metrics,
         )
--- a/tests/test_gateway_workspaces.py
+++ b/tests/test_gateway_workspaces.py
@@ -164,7 +164,7 @@
 
 
 def confirmer(
-    store: FakeStore, reply: ConfigurationAge | None = None
+    store: FakeStore, reply: ConfigurationAge | None = None, hub: str = ""
 ) -> ConfigurationConfirmer:
     """Return a confirmer of a host that knows version 1."""
     state = create_gateway_state(create_platform_wire_format())
@@ -177,7 +177,13 @@
 
     sync: Any = SimpleNamespace(fetch=fetch)
     return ConfigurationConfirmer(
-        state, store, sync, peers, lambda: ["p1", "p2", "p3"], Metrics()
+        state,
+        store,
+        sync,
+        peers,
+        lambda: hub,
+        lambda: ["p1", "p2", "p3"],
+        Metrics(),
     )
 
 
@@ -212,6 +218,27 @@
     assert found.peers.asked == ["p1"]
 
 
+def test_the_feed_hub_of_the_zone_is_asked_before_the_store() -> None:
+    """Guards against calls of the store that grow with the number of hosts."""
+    store = FakeStore()
+    found = confirmer(store, ConfigurationAge(2, 0.1), hub="p2")
+    assert found.confirm(UNKNOWN_KEY_MAX_AGE_S)
+    assert found.state.configuration.version == 2
+    assert (found.peers.asked, store.calls) == (["p2"], [])
+    found = confirmer(store, None, hub="p2")
+    assert found.confirm(UNKNOWN_KEY_MAX_AGE_S)
+    assert (found.peers.asked, len(store.calls)) == (["p2"], 1)
+
+
+def test_a_silent_store_is_not_waited_for_if_another_host_confirms() -> None:
+    """Regression: in an outage for some hosts, they rejected what others served."""
+    store = FakeStore()
+    store.delay_s = 60.0
+    found = confirmer(store, ConfigurationAge(2, 0.1))
+    assert found.confirm(UNKNOWN_KEY_MAX_AGE_S)
+    assert found.state.configuration.version == 2
+
+
 def test_an_outage_is_met_by_few_calls_and_no_wait() -> None:
     """Guards against every unknown key being held while nobody can confirm."""
     store = FakeStore()
