--- a/src/filbertyard/gateway/entry.py
+++ b/src/filbertyard/gateway/entry.py
@@ -27,7 +27,7 @@
 from ..metrics import Metrics
 from .admission import Rejection
 from .claims import boot_clock
-from .confirmation import ConfigurationConfirmer
+from .confirmer import ConfigurationConfirmer
 from .delivery import PERMIT_EXPIRED
 from .delivery import Attempt
 from .delivery import Delivery
--- a/src/filbertyard/gateway/host.py
+++ b/src/filbertyard/gateway/host.py
@@ -25,7 +25,7 @@
 from .claims import Registrar
 from .claims import boot_clock
 from .claimtable import ClaimTable
-from .confirmation import ConfigurationConfirmer
+from .confirmer import ConfigurationConfirmer
 from .directory import DirectoryApplication
 from .entry import EntryApplication
 from .fleet import Fleet
--- a/tests/test_gateway_workspaces.py
+++ b/tests/test_gateway_workspaces.py
@@ -14,10 +14,10 @@
 from result import Ok
 
 from filbertyard.exceptions import KeyValueUnavailableError
-from filbertyard.gateway import confirmation
+from filbertyard.gateway import confirmer as confirmers
 from filbertyard.gateway import entry
-from filbertyard.gateway.confirmation import CONFIRMATION_WAIT_S
-from filbertyard.gateway.confirmation import ConfigurationConfirmer
+from filbertyard.gateway.confirmer import CONFIRMATION_WAIT_S
+from filbertyard.gateway.confirmer import ConfigurationConfirmer
 from filbertyard.gateway.messages import ConfigurationAge
 from filbertyard.gateway.messages import ConfirmConfiguration
 from filbertyard.gateway.state import create_gateway_state
@@ -314,7 +314,7 @@
 @pytest.fixture
 def fleet(monkeypatch: pytest.MonkeyPatch) -> Iterator[GatewayFleet]:
     # A busy machine may take longer than the time that callers are made to wait.
-    monkeypatch.setattr(confirmation, "CONFIRMATION_WAIT_S", 20.0)
+    monkeypatch.setattr(confirmers, "CONFIRMATION_WAIT_S", 20.0)
     fleet = GatewayFleet()
     fleet.store.start()
     content = with_workspaces(1, north=["secret-k1"], south=["secret-k2"])
