--- a/tests/test_gateway_workspaces.py
+++ b/tests/test_gateway_workspaces.py
@@ -557,6 +557,30 @@
     wait_until(lambda: fleet.send("/order/x", host=cut, **old).status == 401)
 
 
+def test_unknown_keys_at_many_hosts_cause_calls_of_one_host_only(
+    fleet: GatewayFleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against calls of the store that grow with the number of hosts."""
+    monkeypatch.setattr(confirmers, "PEER_TIMEOUT_S", 20.0)
+    for _ in range(3):
+        fleet.start_host()
+    await_version(fleet, 1)
+    hubs = wait_until(lambda: agreed_hubs(fleet))
+    for host in fleet.hosts:
+        reply = fleet.send("/order/x", host=host, Authorization="Bearer secret-k9")
+        assert reply.status == 401
+    asking = {host.id for host in fleet.hosts if host.store.calls["/api/kv-key"]}
+    assert asking == hubs
+
+
+def agreed_hubs(fleet: GatewayFleet) -> set[str] | None:
+    """Return the one host that confirms for all, None while they do not agree."""
+    if any(len(host.fleet.connected_hosts()) < 3 for host in fleet.hosts):
+        return None
+    hubs = {host.fleet.feed_hub() or host.id for host in fleet.hosts}
+    return hubs if len(hubs) == 1 else None
+
+
 def other_is_away(key: str, **options: Any) -> RangeResult:
     raise KeyValueUnavailableError("turned away", step="test", peer="store")
 
