Ask for keys also once the configuration has no workspace any more

What callers saw: nothing yet; found in review. An empty list of workspaces counted as a configuration without workspaces, so that removing the last one would have opened all routes and passed callers' keys on to replicas.

Change: only a configuration without the field needs no keys. The test of the platform that took an empty list for a missing one is replaced by two: a missing field asks for no key, an empty list for one that cannot be there.

--- a/src/filbertyard/platform/documents.py
+++ b/src/filbertyard/platform/documents.py
@@ -312,8 +312,11 @@
 def decode_workspaces(
     tenants: list[TenantDocument] | None,
 ) -> dict[bytes, Workspace] | None:
-    """Return the workspaces by the digests of their keys, None without workspaces."""
-    if not tenants:
+    """Return the workspaces by the digests of their keys, None without the field.
+
+    An empty list means that no key is valid, not that none is needed.
+    """
+    if tenants is None:
         return None
     return {
         key_digest(key.get_secret_value()): workspace
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -339,10 +339,17 @@
     assert request(Authorization="Basic k2").key_digest == b""
     assert "k1" not in repr(found)
     assert found.has_workspaces
-    without = WIRE_FORMAT.read_configuration(workspace_configuration(tenants=[]))
+    without = WIRE_FORMAT.read_configuration(workspace_configuration(tenants=None))
     assert not without.has_workspaces
 
 
+def test_a_configuration_that_lost_its_last_workspace_still_asks_for_keys() -> None:
+    """Guards against routes that are open to all once the last customer is removed."""
+    empty = WIRE_FORMAT.read_configuration(workspace_configuration(tenants=[]))
+    assert empty.has_workspaces
+    assert not empty.workspaces
+
+
 def test_replicas_get_the_workspace_and_never_the_key() -> None:
     """Guards against a caller that names a workspace of its own choice."""
     found = request(Authorization="Bearer k2", Tenant="other")
