--- a/tests/test_gateway_workspaces.py
+++ b/tests/test_gateway_workspaces.py
@@ -603,6 +603,19 @@
         fleet.stop()
 
 
+def test_a_request_repeated_elsewhere_keeps_its_workspace(fleet: GatewayFleet) -> None:
+    """Guards against a second attempt in another workspace, or with the key."""
+    fleet.add_replica(ReplicaStandin("d2", "desk"))
+    wait_until(lambda: len(fleet.hosts[0].state.usable("desk")) == 2)
+    for replica in fleet.replicas:
+        replica.faults.reset = 1
+    fleet.send("/stock/x", Authorization="Bearer secret-k2", Tenant="north")
+    runs = [run for replica in fleet.replicas for run in replica.runs]
+    assert len(runs) == 2
+    assert {run["headers"]["HTTP_TENANT"] for run in runs} == {"south"}
+    assert "secret-k2" not in repr(runs)
+
+
 def test_a_stream_resumed_elsewhere_keeps_its_workspace() -> None:
     """Guards against a second run in another workspace, or with the caller's key."""
     fleet = GatewayFleet()
