--- a/tests/test_gateway_workspaces.py
+++ b/tests/test_gateway_workspaces.py
@@ -14,6 +14,7 @@
 from result import Ok
 
 from filbertyard.exceptions import KeyValueUnavailableError
+from filbertyard.exceptions import UpstreamError
 from filbertyard.gateway import confirmer as confirmers
 from filbertyard.gateway import entry
 from filbertyard.gateway.confirmer import CONFIRMATION_WAIT_S
@@ -29,6 +30,7 @@
 from filbertyard.gateway.types import key_digest
 from filbertyard.gateway.workspaces import UNKNOWN_KEY_MAX_AGE_S
 from filbertyard.gateway.workspaces import create_access_policy
+from filbertyard.httpcalls import create_http_peer
 from filbertyard.keyvalue import Item
 from filbertyard.keyvalue import RangeResult
 from filbertyard.metrics import Metrics
@@ -438,6 +440,15 @@
     assert "secret-k3" not in caplog.text
 
 
+def test_an_unreadable_answer_of_the_store_shows_no_key() -> None:
+    """Guards against the log line that shows the beginning of a broken answer."""
+    peer = create_http_peer("127.0.0.1:1")
+    response: Any = SimpleNamespace(status=200)
+    with pytest.raises(UpstreamError) as caught:
+        peer.parse_json(response, b"secret-k1", is_secret=True)
+    assert "secret-k1" not in str(caught.value)
+
+
 class OpenConnection:
     """One connection of a caller that sends several requests."""
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,6 +1,7 @@
 """Tests of the platform's settings, wire format, documents and store client."""
 
 import json
+import math
 from collections.abc import Iterator
 from functools import partial
 from pathlib import Path
@@ -73,6 +74,20 @@
     assert settings.metrics == "10.0.0.1:9464"
 
 
+def test_keys_are_accepted_without_the_store_unless_the_settings_deny_it(
+    tmp_path: Path,
+) -> None:
+    """Guards against settings files without these fields that are no longer read."""
+    path = tmp_path / "node.toml"
+    path.write_text(NODE_FILE)
+    host = create_platform_host(load_node_file(path, 9464, ""))
+    assert host.entry.access_policy.max_unconfirmed_s == math.inf
+    closed = "[bounds]\nrevokeClosed = true\nrevokeMs = 2500\n"
+    path.write_text(NODE_FILE.replace("[bounds]\n", closed))
+    reload(host, partial(load_node_file, path, 9464, ""))
+    assert host.entry.access_policy.max_unconfirmed_s == 2.5
+
+
 def test_reload_applies_bounds_and_names_settings_that_need_a_restart(
     tmp_path: Path, caplog: pytest.LogCaptureFixture
 ) -> None:
