--- a/src/filbertyard/gateway/entry.py
+++ b/src/filbertyard/gateway/entry.py
@@ -33,7 +33,7 @@
 from ..zonecosts import saved_s
 from .admission import Rejection
 from .claims import boot_clock
-from .confirmation import ConfigurationConfirmer
+from .confirmer import ConfigurationConfirmer
 from .delivery import PERMIT_EXPIRED
 from .delivery import Attempt
 from .delivery import Delivery
--- a/src/filbertyard/gateway/host.py
+++ b/src/filbertyard/gateway/host.py
@@ -26,7 +26,7 @@
 from .claims import Registrar
 from .claims import boot_clock
 from .claimtable import ClaimTable
-from .confirmation import ConfigurationConfirmer
+from .confirmer import ConfigurationConfirmer
 from .directory import DirectoryApplication
 from .entry import EntryApplication
 from .fairshare import WorkspaceWeights
@@ -140,6 +140,7 @@
             self.store,
             self.sync,
             self.peers,
+            self.fleet.feed_hub,
             self.fleet.connected_hosts,
             self.metrics,
         )
--- a/tests/test_gateway_workspaces.py
+++ b/tests/test_gateway_workspaces.py
@@ -14,10 +14,11 @@
 from result import Ok
 
 from filbertyard.exceptions import KeyValueUnavailableError
-from filbertyard.gateway import confirmation
+from filbertyard.exceptions import UpstreamError
+from filbertyard.gateway import confirmer as confirmers
 from filbertyard.gateway import entry
-from filbertyard.gateway.confirmation import CONFIRMATION_WAIT_S
-from filbertyard.gateway.confirmation import ConfigurationConfirmer
+from filbertyard.gateway.confirmer import CONFIRMATION_WAIT_S
+from filbertyard.gateway.confirmer import ConfigurationConfirmer
 from filbertyard.gateway.messages import ConfigurationAge
 from filbertyard.gateway.messages import ConfirmConfiguration
 from filbertyard.gateway.state import create_gateway_state
@@ -29,6 +30,7 @@
 from filbertyard.gateway.types import key_digest
 from filbertyard.gateway.workspaces import UNKNOWN_KEY_MAX_AGE_S
 from filbertyard.gateway.workspaces import create_access_policy
+from filbertyard.httpcalls import create_http_peer
 from filbertyard.keyvalue import Item
 from filbertyard.keyvalue import RangeResult
 from filbertyard.metrics import Metrics
@@ -164,7 +166,7 @@
 
 
 def confirmer(
-    store: FakeStore, reply: ConfigurationAge | None = None
+    store: FakeStore, reply: ConfigurationAge | None = None, hub: str = ""
 ) -> ConfigurationConfirmer:
     """Return a confirmer of a host that knows version 1."""
     state = create_gateway_state(create_platform_wire_format())
@@ -177,7 +179,13 @@
 
     sync: Any = SimpleNamespace(fetch=fetch)
     return ConfigurationConfirmer(
-        state, store, sync, peers, lambda: ["p1", "p2", "p3"], Metrics()
+        state,
+        store,
+        sync,
+        peers,
+        lambda: hub,
+        lambda: ["p1", "p2", "p3"],
+        Metrics(),
     )
 
 
@@ -212,6 +220,27 @@
     assert found.peers.asked == ["p1"]
 
 
+def test_the_feed_hub_of_the_zone_is_asked_before_the_store() -> None:
+    """Guards against calls of the store that grow with the number of hosts."""
+    store = FakeStore()
+    found = confirmer(store, ConfigurationAge(2, 0.1), hub="p2")
+    assert found.confirm(UNKNOWN_KEY_MAX_AGE_S)
+    assert found.state.configuration.version == 2
+    assert (found.peers.asked, store.calls) == (["p2"], [])
+    found = confirmer(store, None, hub="p2")
+    assert found.confirm(UNKNOWN_KEY_MAX_AGE_S)
+    assert (found.peers.asked, len(store.calls)) == (["p2"], 1)
+
+
+def test_a_silent_store_is_not_waited_for_if_another_host_confirms() -> None:
+    """Regression: in an outage for some hosts, they rejected what others served."""
+    store = FakeStore()
+    store.delay_s = 60.0
+    found = confirmer(store, ConfigurationAge(2, 0.1))
+    assert found.confirm(UNKNOWN_KEY_MAX_AGE_S)
+    assert found.state.configuration.version == 2
+
+
 def test_an_outage_is_met_by_few_calls_and_no_wait() -> None:
     """Guards against every unknown key being held while nobody can confirm."""
     store = FakeStore()
@@ -287,7 +316,7 @@
 @pytest.fixture
 def fleet(monkeypatch: pytest.MonkeyPatch) -> Iterator[GatewayFleet]:
     # A busy machine may take longer than the time that callers are made to wait.
-    monkeypatch.setattr(confirmation, "CONFIRMATION_WAIT_S", 20.0)
+    monkeypatch.setattr(confirmers, "CONFIRMATION_WAIT_S", 20.0)
     fleet = GatewayFleet()
     fleet.store.start()
     content = with_workspaces(1, north=["secret-k1"], south=["secret-k2"])
@@ -411,6 +440,15 @@
     assert "secret-k3" not in caplog.text
 
 
+def test_an_unreadable_answer_of_the_store_shows_no_key() -> None:
+    """Guards against the log line that shows the beginning of a broken answer."""
+    peer = create_http_peer("127.0.0.1:1")
+    response: Any = SimpleNamespace(status=200)
+    with pytest.raises(UpstreamError) as caught:
+        peer.parse_json(response, b"secret-k1", is_secret=True)
+    assert "secret-k1" not in str(caught.value)
+
+
 class OpenConnection:
     """One connection of a caller that sends several requests."""
 
@@ -530,6 +568,30 @@
     wait_until(lambda: fleet.send("/order/x", host=cut, **old).status == 401)
 
 
+def test_unknown_keys_at_many_hosts_cause_calls_of_one_host_only(
+    fleet: GatewayFleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against calls of the store that grow with the number of hosts."""
+    monkeypatch.setattr(confirmers, "PEER_TIMEOUT_S", 20.0)
+    for _ in range(3):
+        fleet.start_host()
+    await_version(fleet, 1)
+    hubs = wait_until(lambda: agreed_hubs(fleet))
+    for host in fleet.hosts:
+        reply = fleet.send("/order/x", host=host, Authorization="Bearer secret-k9")
+        assert reply.status == 401
+    asking = {host.id for host in fleet.hosts if host.store.calls["/api/kv-key"]}
+    assert asking == hubs
+
+
+def agreed_hubs(fleet: GatewayFleet) -> set[str] | None:
+    """Return the one host that confirms for all, None while they do not agree."""
+    if any(len(host.fleet.connected_hosts()) < 3 for host in fleet.hosts):
+        return None
+    hubs = {host.fleet.feed_hub() or host.id for host in fleet.hosts}
+    return hubs if len(hubs) == 1 else None
+
+
 def other_is_away(key: str, **options: Any) -> RangeResult:
     raise KeyValueUnavailableError("turned away", step="test", peer="store")
 
@@ -552,6 +614,19 @@
         fleet.stop()
 
 
+def test_a_request_repeated_elsewhere_keeps_its_workspace(fleet: GatewayFleet) -> None:
+    """Guards against a second attempt in another workspace, or with the key."""
+    fleet.add_replica(ReplicaStandin("d2", "desk"))
+    wait_until(lambda: len(fleet.hosts[0].state.usable("desk")) == 2)
+    for replica in fleet.replicas:
+        replica.faults.reset = 1
+    fleet.send("/stock/x", Authorization="Bearer secret-k2", Tenant="north")
+    runs = [run for replica in fleet.replicas for run in replica.runs]
+    assert len(runs) == 2
+    assert {run["headers"]["HTTP_TENANT"] for run in runs} == {"south"}
+    assert "secret-k2" not in repr(runs)
+
+
 def test_a_stream_resumed_elsewhere_keeps_its_workspace() -> None:
     """Guards against a second run in another workspace, or with the caller's key."""
     fleet = GatewayFleet()
