--- a/src/filbertyard/gateway/fairshare.py
+++ b/src/filbertyard/gateway/fairshare.py
@@ -164,7 +164,7 @@
         self.turns(item.rank).charge(item.workspace, self.cost(item))
 
     def order(self, rank: int, items: Iterable[W]) -> list[W]:
-        """Return requests of one rank, given by `due`, in the order of turns."""
+        """Return requests of one rank by turn; a workspace's keep their order."""
         return self.turns(rank).interleave(items, self.cost)
 
     def urgent_first(self, waiting: Iterable[W], late_at: float) -> list[W]:
