--- a/tests/test_gateway_fairshare.py
+++ b/tests/test_gateway_fairshare.py
@@ -15,13 +15,16 @@
 from filbertyard.gateway.admission import QueuedRequest
 from filbertyard.gateway.fairshare import DemandShares
 from filbertyard.gateway.fairshare import FairTurns
+from filbertyard.gateway.fairshare import WorkspaceWeights
 from filbertyard.gateway.fairshare import quota_weights
 from filbertyard.gateway.permits import PermitQueue
 from filbertyard.gateway.permits import WaitingRequest
 from filbertyard.gateway.placement import choose_replica
 from filbertyard.gateway.types import AdapterName
+from filbertyard.gateway.types import Configuration
 from filbertyard.gateway.types import Quota
 from filbertyard.gateway.types import Workspace
+from filbertyard.gateway.types import create_configuration
 from fleetsim import Replay
 from fleetsim import Request
 from fleetsim import Workload
@@ -420,6 +423,24 @@
     assert quota_weights([]) == {}
 
 
+def test_weights_follow_the_configuration_in_force() -> None:
+    """A new version changes a quota while requests wait."""
+
+    def configuration(version: int, per_s: float) -> Configuration:
+        small = Workspace("a", None, Quota(100.0, 1.0, "tokens"))
+        large = Workspace("b", None, Quota(per_s, 1.0, "tokens"))
+        keys = {b"1": small, b"2": large, b"3": large}
+        return create_configuration(version, version, (), {}, None, keys)
+
+    known: list[Configuration | None] = [None]
+    weights = WorkspaceWeights(lambda: known[0])
+    assert weights("a") == 1.0
+    known[0] = configuration(1, 300.0)
+    assert weights("b") == 3 * weights("a")
+    known[0] = configuration(2, 100.0)
+    assert weights("b") == weights("a") == weights("unknown") == 1.0
+
+
 def test_permits_are_shared_among_workspaces() -> None:
     """One workspace floods a plain service whose replica names a rate limit."""
     queue = PermitQueue()
