--- a/src/filbertyard/gateway/owner.py
+++ b/src/filbertyard/gateway/owner.py
@@ -145,7 +145,7 @@
         self.rate_limits = rate_limits
         self.metrics = metrics
         self.queue = EngineQueue(
-            limits.slots, limits.kv_tokens, max_prefill_backlog_s, weight
+            limits.slots, limits.kv_tokens, max_prefill_backlog_s, weight=weight
         )
         self.demand = DemandShares(weight)
         self.plan = AdapterPlan(limits.adapter_slots, releases)
--- a/tests/fleetsim.py
+++ b/tests/fleetsim.py
@@ -157,7 +157,7 @@
                     slots,
                     kv_tokens,
                     max_prefill_backlog_s(max_gap_s, event_tokens),
-                    weight,
+                    weight=weight,
                 ),
                 AdapterPlan(adapter_slots, {}),
                 DemandShares(weight),
