--- a/src/filbertyard/gateway/fairshare.py
+++ b/src/filbertyard/gateway/fairshare.py
@@ -52,16 +52,6 @@
 W = TypeVar("W", bound=Waiting)
 
 
-def due(item: Waiting) -> float:
-    """Return the key by which requests of one workspace and rank start.
-
-    It is their objective: the rank of a workspace goes before that of its routes, so
-    that routes with very different objectives share a rank. Without a workspace it is
-    their arrival, as routes with other objectives have other ranks.
-    """
-    return item.objective_at if item.workspace else item.arrived
-
-
 def equal_weight(workspace: str) -> float:
     """Return the weight of a workspace where all have the same."""
     return 1.0
@@ -170,7 +160,7 @@
     def urgent_first(self, waiting: Iterable[W], late_at: float) -> list[W]:
         """Return requests by rank, then by turn; those late at `late_at` go last."""
         groups: dict[tuple[bool, int], list[W]] = defaultdict(list)
-        for item in sorted(waiting, key=due):
+        for item in sorted(waiting, key=lambda item: item.arrived):
             groups[late_at > item.objective_at, item.rank].append(item)
         return [
             item for key in sorted(groups) for item in self.order(key[1], groups[key])
@@ -190,13 +180,10 @@
 
     def ahead(self, item: W, waiting: Iterable[W]) -> list[W]:
         """Return the waiting requests that start before a new one, by rank and turn."""
-        others = sorted(waiting, key=due)
+        others = sorted(waiting, key=lambda other: other.arrived)
         urgent = [other for other in others if other.rank < item.rank]
         same = [other for other in others if other.rank == item.rank]
-        same.append(item)
-        if item.workspace:
-            same.sort(key=due)
-        ordered = self.order(item.rank, same)
+        ordered = self.order(item.rank, [*same, item])
         return urgent + ordered[: ordered.index(item)]
 
 
