Let no price of another zone outweigh failures of a plain replica

Failures of plain replicas now cost as much time as those of engines where a price is set. Without a price nothing changes.

`pytest tests/test_gateway_zones.py -k failing_plain` fails before.

--- a/src/filbertyard/gateway/entry.py
+++ b/src/filbertyard/gateway/entry.py
@@ -29,7 +29,6 @@
 from ..zonecosts import ResponseSizes
 from ..zonecosts import ZonePrice
 from ..zonecosts import limit_price_s
-from ..zonecosts import plain_advantage
 from ..zonecosts import saved_s
 from .admission import Rejection
 from .claims import boot_clock
@@ -42,12 +41,14 @@
 from .messages import AdmissionGranted
 from .messages import AdmissionRejected
 from .messages import AdmissionRequest
-from .placement import SAME_ZONE_BONUS
+from .placement import DEFAULT_WEIGHTS
 from .placement import Candidate
 from .placement import PlainCandidate
+from .placement import PlainWeights
 from .placement import choose_replica
 from .placement import estimate_first_event_s
 from .placement import order_plain
+from .placement import weigh_price
 from .promptguard import PromptGuard
 from .ratelimiter import PERMIT_S
 from .ratelimiter import RATE_LIMIT_ENDED
@@ -748,8 +749,8 @@
             )
             for key in reachable or usable
         ]
-        advantage = self.plain_advantage(delivery)
-        ordered = order_plain(candidates, self.random.random(), advantage)
+        weights = self.plain_weights(delivery)
+        ordered = order_plain(candidates, self.random.random(), weights)
         return [usable[key] for key in ordered]
 
     # Availability zones.
@@ -779,15 +780,15 @@
         )
         return Crossing(price_s, others, self.owners.arriving_share(), estimates)
 
-    def plain_advantage(self, delivery: Delivery) -> float:
-        """Return the advantage of plain replicas in this zone, a ratio of slots."""
+    def plain_weights(self, delivery: Delivery) -> PlainWeights:
+        """Return what another zone and failures cost for a plain request."""
         run_s = self.run_times.mean_s(delivery.service)
         if not self.zone_price.is_set or not run_s:
-            return SAME_ZONE_BONUS
+            return DEFAULT_WEIGHTS
         price_s = limit_price_s(
             self.crossing_price_s(delivery), delivery.objective_left_s(), run_s
         )
-        return plain_advantage(price_s, run_s)
+        return weigh_price(price_s, run_s)
 
     def record_send(self, delivery: Delivery, replica: Replica) -> None:
         """Record to which zone a request goes."""
--- a/src/filbertyard/gateway/placement.py
+++ b/src/filbertyard/gateway/placement.py
@@ -155,23 +155,48 @@
 # Advantage of a replica in the host's own zone, as a fraction of its slots.
 SAME_ZONE_BONUS = 0.05
 
+# Shorter runs of plain services count as this long: a millisecond is the resolution of
+# their timing.
+MIN_RUN_S = 0.001
+
+
+@dataclass(frozen=True, slots=True)
+class PlainWeights:
+    """What another zone and a failure rate of 1 cost, as a fraction of all slots."""
+
+    other_zone: float = SAME_ZONE_BONUS
+    failure: float = FAILURE_PENALTY_S
+
+
+DEFAULT_WEIGHTS = PlainWeights()
+
+
+def weigh_price(price_s: float, run_s: float) -> PlainWeights:
+    """Return the weights for a price of another zone and the mean time of a run.
+
+    A request that finds all slots taken waits for a run, so taking all slots stands for
+    the time of one. Failures cost as much time as at an engine: no price keeps requests
+    at a replica that fails.
+    """
+    run_s = max(MIN_RUN_S, run_s)
+    return PlainWeights(price_s / run_s, FAILURE_PENALTY_S / run_s)
+
 
 def order_plain(
     candidates: Iterable[PlainCandidate],
     tie_break: float,
-    zone_advantage: float = SAME_ZONE_BONUS,
+    weights: PlainWeights = DEFAULT_WEIGHTS,
 ) -> list[str]:
     """Return replicas of a plain service, the least loaded first.
 
-    `tie_break` is a random number from 0 to 1, `zone_advantage` the advantage of a
-    replica in the host's own zone.
+    `tie_break` is a random number from 0 to 1.
     """
     costs = {}
     for index, item in enumerate(sorted(candidates, key=lambda c: c.replica)):
         load = (item.running + 1) / max(1, item.slots)
         cost = load / max(0.05, 1.0 - item.failure_rate)
-        cost += FAILURE_PENALTY_S * item.failure_rate
-        cost += zone_advantage * (not item.is_same_zone)
+        cost += weights.failure * item.failure_rate
+        cost += weights.other_zone * (not item.is_same_zone)
         cost += 0.01 * ((tie_break + index * 0.618) % 1.0)
         costs[item.replica] = cost
     return sorted(costs, key=costs.__getitem__)
--- a/src/filbertyard/zonecosts.py
+++ b/src/filbertyard/zonecosts.py
@@ -19,10 +19,6 @@
 # Weight of a response in the mean size of a service's responses.
 SIZE_EWMA_WEIGHT = 0.05
 
-# Shorter runs of plain services count as this long: a millisecond is the resolution of
-# their timing.
-MIN_RUN_S = 0.001
-
 # Bytes in the unit of `ZonePrice.per_kb_s`.
 KB = 1000
 
@@ -109,15 +105,6 @@
     return max(1, own) / len(host_zones)
 
 
-def plain_advantage(price_s: float, run_s: float) -> float:
-    """Return the advantage of a plain replica in the own zone as a ratio of its slots.
-
-    A request that finds all slots taken waits for a run, so taking all slots stands for
-    the time of one.
-    """
-    return price_s / max(MIN_RUN_S, run_s)
-
-
 def saved_s(
     chosen: str, estimates: Mapping[str, float], others: Collection[str]
 ) -> float | None:
--- a/tests/test_gateway_zones.py
+++ b/tests/test_gateway_zones.py
@@ -13,13 +13,13 @@
 from filbertyard.gateway.placement import choose_replica
 from filbertyard.gateway.placement import estimate_first_event_s
 from filbertyard.gateway.placement import order_plain
+from filbertyard.gateway.placement import weigh_price
 from filbertyard.gateway.settings import read_zone_price
 from filbertyard.zonecosts import Crossing
 from filbertyard.zonecosts import ResponseSizes
 from filbertyard.zonecosts import ZonePrice
 from filbertyard.zonecosts import arriving_share
 from filbertyard.zonecosts import limit_price_s
-from filbertyard.zonecosts import plain_advantage
 from filbertyard.zonecosts import saved_s
 from fleetsim import Replay
 from fleetsim import Workload
@@ -250,8 +250,17 @@
 ) -> None:
     """A price of half a run stands for half of the slots."""
     candidates = [plain("near", running, True), plain("far", 1, False)]
-    advantage = plain_advantage(0.01, 0.02)
-    assert order_plain(candidates, 0.5, advantage)[0] == first
+    assert order_plain(candidates, 0.5, weigh_price(0.01, 0.02))[0] == first
+
+
+def test_a_failing_plain_replica_is_left_whatever_the_load() -> None:
+    """Guards against a price of more than a run that outweighs failures.
+
+    On a day with crashes more once-only requests failed with the price than without.
+    """
+    near = PlainCandidate("near", 0, 6, 0.2, True)
+    far = PlainCandidate("far", 5, 6, 0.0, False)
+    assert order_plain([near, far], 0.5, weigh_price(0.05, 0.0225))[0] == "far"
 
 
 def test_the_price_counts_requests_and_bytes() -> None:
