Play the soak with a price of another zone on odd seeds

Its replicas now lie in the two zones of its hosts. Replicas whose entry names no zone count as of the own one for the price.

--- a/src/filbertyard/gateway/entry.py
+++ b/src/filbertyard/gateway/entry.py
@@ -769,7 +769,7 @@
         others = {
             replica.id
             for replica in self.state.usable(delivery.service)
-            if replica.zone != self.zone
+            if replica.zone not in ("", self.zone)
         }
         estimates = {item.replica: estimate_first_event_s(item) for item in candidates}
         found = [cost for key, cost in estimates.items() if key in others]
@@ -803,7 +803,7 @@
 
     def zone_scope(self, zone: str) -> str:
         """Return the value of the `scope` label of a replica's zone."""
-        return "own" if zone == self.zone else "other"
+        return "own" if zone in ("", self.zone) else "other"
 
     # Results.
 
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -52,6 +52,9 @@
 
 HARMFUL_SHARE = 0.15
 
+# Price of another availability zone in the runs with odd seeds; the others have none.
+ZONE_PRICE_MS = 50.0
+
 # Share of the runs in which the store loses writes, and then of further losses.
 LOSS_SHARE = 0.5
 
@@ -192,6 +195,7 @@
     callers_address: str
     control_address: str
     directory_address: str
+    zone_price_ms: float
     popen: subprocess.Popen[bytes] | None = None
     is_paused: bool = False
     lock: BoundedSemaphore = field(default_factory=BoundedSemaphore)
@@ -208,6 +212,7 @@
             **os.environ,
             "FILBERTYARD_NODE_FILE": str(self.folder / "node.toml"),
             "FILBERTYARD_PEER_KEY": "a-key-for-the-soak",
+            "FILBERTYARD_ZONE_PRICE_MS": str(self.zone_price_ms),
         }
         log = (self.folder / "log").open("ab")
         self.popen = subprocess.Popen(
@@ -293,6 +298,7 @@
                 model=MODEL if engine else "",
                 event_s=EVENT_S,
                 events=EVENTS,
+                zone=f"z{int(name[1]) % 2}",
             )
             replica.start()
             self.replicas.append(replica)
@@ -405,7 +411,12 @@
 """
         )
         process = Process(
-            folder, store, callers_address, control_address, directory_address
+            folder,
+            store,
+            callers_address,
+            control_address,
+            directory_address,
+            ZONE_PRICE_MS * (self.seed % 2),
         )
         self.processes.append(process)
 
