Check keys and quotas of workspaces in the soak

Callers name a workspace by its key and another one by a header of their own; each version of the configuration adds a key and removes one. The soak checks that replicas get the workspace of the key and never the key, that a valid key is never rejected, that a removed key ends in time, and that a quota holds over every window of 8 s.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -98,6 +98,19 @@
 # Share of the runs in which all hosts are killed at once, and then of further times.
 HERD_SHARE = 0.5
 
+# Workspaces of the callers; the quota, in requests per second with an equal burst, is
+# about what the callers of the second one ask for. Each version of the configuration
+# adds a key to the first one and removes the key that is two versions older.
+QUOTAS = {"north": 0, "south": 2}
+QUOTA_WINDOW_S = 8.0
+QUOTA_OVERSHOOT = 1.1
+QUOTA_SLACK = 6
+
+# A version is in force on all hosts within this time, and slow processes of a loaded
+# machine may react somewhat later.
+APPLY_S = 2.0
+APPLY_SLACK_S = 3.0
+
 # Requests must be served again within this time after the last fault.
 RECOVERY_TIMEOUT_S = 20.0
 
@@ -238,6 +251,8 @@
     adapter: str
     reply: Reply | None = None
     harmful_part: str = ""
+    workspace: str = ""
+    key: str = ""
     at: float = field(default_factory=time.monotonic)
 
     @property
@@ -278,13 +293,14 @@
     limits: list[Limit] = field(default_factory=list)
     harmful_part: str = ""
     version: int = 1
+    written_at: dict[int, float] = field(default_factory=dict)
     entries: dict[str, dict[str, Any] | None] = field(default_factory=dict)
     crash_times: dict[str, list[float]] = field(default_factory=dict)
 
     def start(self) -> None:
         """Start everything and wait until requests are served."""
         self.store.start()
-        self.store.write("op/config", configuration())
+        self.write_configuration()
         for name in ("e1", "e2", "d1", "d2"):
             engine = name.startswith("e")
             replica = ReplicaStandin(
@@ -355,7 +371,20 @@
     def change_configuration(self) -> None:
         """Write a configuration with the next version."""
         self.version += 1
-        self.store.write("op/config", configuration(self.version))
+        self.write_configuration()
+
+    def write_configuration(self) -> None:
+        """Write the configuration of the current version with its workspaces."""
+        keys = {"north": ["north-0"], "south": ["south-0"]}
+        keys["north"] += [f"north-{self.version}", f"north-{self.version - 1}"]
+        tenants = [
+            {"name": name, "apiKeys": keys[name], "ratePerS": per_s, "burst": per_s}
+            for name, per_s in QUOTAS.items()
+        ]
+        self.store.write(
+            "op/config", {**configuration(self.version), "tenants": tenants}
+        )
+        self.written_at.setdefault(self.version, time.monotonic())
 
     def lose_writes(self, saved: SavedContent, rng: random.Random) -> None:
         """Have the store come back from a copy; who wrote there writes again."""
@@ -367,7 +396,7 @@
         self.store.lose_writes(saved)
         self.store.faults.unavailable = False
         gevent.sleep(pause_s)
-        self.store.write("op/config", configuration(self.version))
+        self.write_configuration()
         for name, entry in self.entries.items():
             if entry is not None:
                 self.store.write(f"servers/{name}", entry)
@@ -418,6 +447,7 @@
         """
         sockets = {} if sockets is None else sockets
         call = Call(f"q{len(self.calls)}", kind, kind)
+        call.workspace, call.key = self.choose_key(len(self.calls))
         self.calls.append(call)
         path = {"desk": "/order/x", "stock": "/stock/x"}.get(kind, "/note/x")
         lines = [
@@ -425,6 +455,8 @@
             "Host: fleet.example",
             f"Request-Id: {call.id}",
             "Deadline-Ms: 6000",
+            f"Authorization: Bearer {call.key}",
+            "Tenant: another",
             "Content-Length: 2",
         ]
         if path == "/note/x":
@@ -452,6 +484,14 @@
             sock.close()
         return call.reply
 
+    def choose_key(self, number: int) -> tuple[str, str]:
+        """Return the workspace and the key of a request; some keys are removed."""
+        if number % 3 == 0:
+            return "south", "south-0"
+        if number % 3 == 1:
+            return "north", "north-0"
+        return "north", f"north-{max(0, self.version - number // 3 % 4)}"
+
     def run_caller(self, rng: random.Random) -> None:
         """Send requests of random kinds, on open connections as long as they last."""
         sockets: dict[int, Any] = {}
@@ -611,7 +651,8 @@
             call_runs = runs.get(call.id, [])
             found += call_violations(call, call_runs)
         found += self.drain_violations() + self.rate_violations()
-        found += self.budget_violations()
+        found += self.budget_violations() + self.quota_violations(runs)
+        found += self.key_violations(runs)
         return found + self.harmful_violations(runs)
 
     def end_limit(self, replica: ReplicaStandin, limit: Limit | None = None) -> None:
@@ -671,6 +712,46 @@
             found += [worst] if worst else []
         return found
 
+    def quota_violations(self, runs: dict[str, list[dict]]) -> list[str]:
+        """Return the workspaces of which more requests ran than their quota allows."""
+        found = []
+        for name, per_s in QUOTAS.items():
+            allowed = per_s * (QUOTA_WINDOW_S + 1) * QUOTA_OVERSHOOT + QUOTA_SLACK
+            times = [
+                runs[call.id][0]["at"]
+                for call in self.calls
+                if call.workspace == name and call.id in runs
+            ]
+            most = max(
+                (count_between(times, at, at + QUOTA_WINDOW_S) for at in times),
+                default=0,
+            )
+            if per_s and most > allowed:
+                found.append(f"{name} ran {most} requests, {allowed:.0f} allowed")
+        return found
+
+    def key_violations(self, runs: dict[str, list[dict]]) -> list[str]:
+        """Return requests served for the wrong key, or rejected with a valid one."""
+        found = []
+        for call in self.calls:
+            for run in runs.get(call.id, []):
+                headers = run["headers"]
+                if "HTTP_AUTHORIZATION" in headers:
+                    found.append(f"{call.id} reached a replica with its key")
+                if headers.get("HTTP_TENANT") != call.workspace:
+                    named = headers.get("HTTP_TENANT")
+                    found.append(f"{call.id} of {call.workspace} ran for {named}")
+            if call.key in ("north-0", "south-0"):
+                if call.reply is not None and call.reply.status == 401:
+                    found.append(f"{call.id} was rejected with a valid key")
+                continue
+            removed_at = self.written_at.get(int(call.key.split("-")[1]) + 2, math.inf)
+            late_s = call.at - removed_at - APPLY_S - APPLY_SLACK_S
+            is_excused = self.is_disturbed(removed_at - STABLE_S, call.at)
+            if late_s > 0 and call.id in runs and not is_excused:
+                found.append(f"{call.id} ran {late_s:.1f} s late with a removed key")
+        return found
+
     def end_drain(self, replica: str) -> None:
         """Record that a leaving replica is listed as ready again."""
         now = time.monotonic()
