--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -71,6 +71,7 @@
         self.addresses: dict[str, str] = {}
         self.peers: dict[str, str] = {}
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        self.operators = dict.fromkeys(names, "")
         for name in names:
             self.start(name)
 
@@ -86,7 +87,7 @@
             "availability_zone": zone,
             "callers": self.addresses[name],
             "peers": self.peers[name],
-            "operators": "",
+            "operators": self.operators[name],
             "platform": {
                 "key_value": {"address": standins.key_value.address},
                 "host_list": standins.host_list.address,
