End the oldest handshake when other connections wait for theirs

As many silent connections at the port for other hosts as there may be handshakes closed the connection of each other host that dialled, for 2 s at a time. The oldest of them is ended now: a host needs milliseconds for its handshake. tests/test_client_limits.py::test_silent_peers_leave_room_for_a_host fails before.

--- a/src/filbertyard/peers.py
+++ b/src/filbertyard/peers.py
@@ -259,7 +259,8 @@
         self.server: StreamServer | None = None
         self.traffic = Traffic()
         self.faults = LinkFaults()
-        self.open_handshakes = 0
+        # Connections that have not proved the shared key yet, oldest first.
+        self.handshakes: dict[Connection, None] = {}
         self.instances: dict[str, str] = {}
         self.stream_broken_listeners: list[Callable[[str], None]] = []
         self.idle_stream_task: gevent.Greenlet[..., None] | None = None
@@ -304,7 +305,14 @@
 
     def accept(self, sock: Any, address: tuple[str, int]) -> None:
         """Serve one stream that another host opened."""
-        if len(self.accepted) >= MAX_STREAMS or self.open_handshakes >= MAX_HANDSHAKES:
+        while len(self.handshakes) >= MAX_HANDSHAKES:
+            # A host needs milliseconds for its handshake: the oldest is none.
+            self.traffic.streams_rejected += 1
+            oldest = next(iter(self.handshakes))
+            del self.handshakes[oldest]
+            self.accepted.discard(oldest)
+            oldest.close()
+        if len(self.accepted) >= MAX_STREAMS:
             self.traffic.streams_rejected += 1
             sock.close()
             return
@@ -312,13 +320,13 @@
         connection = self.open_connection(sock, str(address))
         self.accepted.add(connection)
         try:
-            self.open_handshakes += 1
+            self.handshakes[connection] = None
             try:
                 timeout_error = FrameError("handshake timeout", step="handshake")
                 with gevent.Timeout(HANDSHAKE_TIMEOUT_S, timeout_error):
                     self.accept_handshake(connection)
             finally:
-                self.open_handshakes -= 1
+                self.handshakes.pop(connection, None)
             self.finish_handshake(connection)
             self.serve(connection)
         except (FrameError, OSError) as error:
