Bound the memory of heads, unread responses and connections of a process

Cause: each half-read head was kept as one object a line, and nothing counted all of them; a response that waited for its caller was counted nowhere or could not be given up; a handler served buffered requests without giving way; the operators' server had no limits at all.

Heads are kept as bytes until they are complete and count in a pool, parsed lines at 512 bytes each. Pools of heads, bodies and unread responses share a budget of 40 MiB; the largest goes first, and who takes more waits until given-up memory is free. Beyond 4 requests in a row that were there already, a connection takes turns with the others of its kind, in a line. When a server is full, the oldest connection that has not completed a request is ended before idle ones. maxHeaderBytes is applied. A body may pause for the idle timeout. The operators' interface has the limits of callers. Ended connections are counted and logged by cause.

--- a/src/filbertyard/callers.py
+++ b/src/filbertyard/callers.py
@@ -18,6 +18,7 @@
 import gevent
 
 from .callerserver import HANDLER_KEY
+from .callerserver import MAX_COALESCED_BYTES
 from .calls import Call
 from .events import EventLog
 from .exceptions import BodyTimeoutError
@@ -325,9 +326,11 @@
                 phrase = REASON_PHRASES.get(first.status, "Unknown")
                 status = f"{first.status} {phrase}"
                 if not call.stream or first.status != HTTPStatus.OK:
-                    return self.send_buffered(
+                    parts = self.send_buffered(
                         replies, start_response, status, headers, call, first.is_framed
                     )
+                    handler.held_bytes = sum(map(len, parts))
+                    return parts
             start_response(status, headers)
             streaming = True
             return self.stream(replies, call, handler)
@@ -374,7 +377,7 @@
 
     def send_failure(
         self, start_response: StartResponse, reply: Reply, call: Call
-    ) -> Iterable[bytes]:
+    ) -> list[bytes]:
         """Send the problem details of a call that did not succeed."""
         return send_problem(start_response, problem_of(reply, call.request_id))
 
@@ -386,16 +389,19 @@
         headers: list[tuple[str, str]],
         call: Call,
         is_framed: bool,
-    ) -> Iterable[bytes]:
+    ) -> list[bytes]:
         """Send a response once it is complete."""
-        body = bytearray()
+        # Joining the parts would double the memory of a large body.
+        parts: list[bytes] = []
+        size = 0
         ended = False
-        with RESPONSE_BODIES.reserve(lambda: None) as reservation:
+        with RESPONSE_BODIES.reserve(parts.clear) as reservation:
             for reply in replies:
                 if isinstance(reply, Chunk):
-                    body += reply.data
+                    parts.append(reply.data)
+                    size += len(reply.data)
                     try:
-                        reservation.resize(len(body))
+                        reservation.resize(size)
                     except BufferLimitError:
                         problem = response_too_large(call.request_id)
                         return send_problem(start_response, problem)
@@ -406,9 +412,9 @@
         if not ended:
             return send_problem(start_response, incomplete_response(call.request_id))
         if is_framed:
-            headers.append(("Content-Length", str(len(body))))
+            headers.append(("Content-Length", str(size)))
         start_response(status, headers)
-        return [bytes(body)]
+        return [b"".join(parts)] if size < MAX_COALESCED_BYTES else parts
 
     def stream(
         self, replies: Iterator[Reply], call: Call, handler: Any
--- a/src/filbertyard/callerserver.py
+++ b/src/filbertyard/callerserver.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import errno
+import logging
 import re
 import socket
+import time
+from collections import Counter
 from collections.abc import Iterator
 from contextlib import contextmanager
 from contextlib import suppress
@@ -15,20 +18,55 @@
 from gevent.pywsgi import WSGIHandler
 from gevent.pywsgi import WSGIServer
 
+from .exceptions import BufferLimitError
 from .exceptions import CallerDisconnectedError
 from .httpcalls import BODILESS_STATUSES
+from .logs import log_event
+from .metrics import Metrics
 from .problems import ProblemDetails
+from .readlimits import PIPELINED_REQUEST_S
+from .readlimits import PIPELINES
 from .readlimits import REQUEST_BODIES
+from .readlimits import REQUEST_HEADS
+from .readlimits import UNREAD_RESPONSES
 from .readlimits import ReadTurn
 from .readlimits import Reservation
 from .sockets import end_when_closed
 from .sockets import reset_when_closed
 
+logger = logging.getLogger(__name__)
+
 HANDLER_KEY = "filbertyard.handler"
 
-# The standard library's header parser would accept 100 lines of 64 KB.
+# Header lines of a request together. The standard library's header parser would accept
+# 100 lines of 64 KB.
 MAX_HEAD_BYTES = 32 * 1024
 
+# gevent.pywsgi rejects a request line of this size.
+MAX_REQUEST_LINE_BYTES = 8192
+
+# Memory that a parsed header line takes beyond its bytes: as a line, as a name and a
+# value, and in the WSGI environment.
+HEADER_LINE_BYTES = 512
+
+# Empty lines that are skipped before a request. RFC 9112 asks for at least one.
+MAX_EMPTY_LINES = 4
+
+# A caller may pipeline so many requests before its connection gives way. The next
+# request of a fast caller may also be there when the response has just been sent.
+MAX_READY_REQUESTS = 4
+
+END_OF_LINE = re.compile(rb"\n")
+
+# The line before the header lines ends with the first line break.
+END_OF_HEAD = re.compile(rb"\n\r?\n")
+
+# Retry-After of a request whose head this process has no memory for.
+NO_MEMORY_RETRY_AFTER_S = 1.0
+
+# Interval of the `connections_ended` log line.
+ENDED_LOG_INTERVAL_S = 1.0
+
 # Limits of a lingering close: what a rejected caller still sends is read and dropped,
 # so that the kernel does not reset the connection before the caller has read the
 # response.
@@ -48,6 +86,9 @@
 READ_BLOCK_BYTES = 64 * 1024
 CHUNKED_READ_BYTES = 512
 
+# Bytes of a chunk around its data, with a size of four digits.
+CHUNK_FRAMING_BYTES = 8
+
 # With the default of 100, a flood of connections delays the running calls.
 MAX_ACCEPTS_PER_LOOP = 8
 
@@ -67,11 +108,12 @@
     head_timeout_s: float = 10.0
     body_timeout_s: float = 20.0
     write_timeout_s: float = 20.0
+    max_head_bytes: int = MAX_HEAD_BYTES
     max_body_bytes: int = 512 * 1024
 
 
 class HeadTooLargeError(ValueError):
-    """A request head above MAX_HEAD_BYTES."""
+    """Header lines above the limit on their size."""
 
 
 class RequestHead:
@@ -82,18 +124,11 @@
 
     status = ""
 
-    def __init__(self, file: Any) -> None:
+    def __init__(self, data: bytes) -> None:
         self.headers: list[str] = []
         self.fields: dict[str, str] = {}
-        remaining_bytes = MAX_HEAD_BYTES
-        while True:
-            line = file.readline(remaining_bytes + 1)
-            remaining_bytes -= len(line)
-            if remaining_bytes < 0:
-                raise HeadTooLargeError
-            if line in (b"\r\n", b"\n"):
-                break
-            self.add(line.decode("latin-1"))
+        for line in data.decode("latin-1").split("\n")[:-2]:
+            self.add(f"{line}\n")
         if self.fields.get("transfer-encoding", "chunked").lower() != "chunked":
             raise ValueError("unknown transfer encoding")
 
@@ -137,8 +172,13 @@
         self.should_frame = True
         self.is_aborted = False
         self.greenlet: Any = None
+        self.head_reservation: Reservation | None = None
         self.body_reservation: Reservation | None = None
         self.is_input_ended = False
+        # Requests in a row that were there before the last response was sent.
+        self.ready_requests = 0
+        # Size of a response that the application holds as a whole.
+        self.held_bytes = 0
         self.write_buffer: bytearray | None = None
 
     def handle(self) -> None:
@@ -150,8 +190,22 @@
         finally:
             self.caller_server.remove_connection(self)
 
-    def read_requestline(self) -> Any:
+    def read_requestline(self) -> str:
         """Wait for the next request line; raise TimeoutError on an idle connection."""
+        self.give_way()
+        line = b""
+        for _ in range(MAX_EMPTY_LINES + 1):
+            self.await_request()
+            if self.head_reservation is None:
+                self.head_reservation = REQUEST_HEADS.reserve(self.end_input)
+            with gevent.Timeout(self.limits.head_timeout_s, TimeoutError("head")):
+                line = self.read_until(END_OF_LINE, b"", MAX_REQUEST_LINE_BYTES)
+            if line not in (b"\r\n", b"\n"):
+                break
+        return line.decode("latin-1")
+
+    def await_request(self) -> None:
+        """Wait for the first byte of a request, which leaves it in the buffer."""
         limits = self.limits
         limit_s = (
             limits.idle_timeout_s
@@ -160,31 +214,107 @@
         )
         self.caller_server.record_idle(self)
         with gevent.Timeout(limit_s, TimeoutError("idle")):
-            line = super().read_requestline()
-        self.caller_server.record_busy(self)
-        return line
+            self.rfile.peek(1)
+        self.caller_server.record_reading(self)
+
+    def give_way(self) -> None:
+        """Let other connections go first if the next request is there already."""
+        if not self.request_count or not self.has_next_request():
+            self.ready_requests = 0
+            return
+        self.ready_requests += 1
+        if self.ready_requests <= MAX_READY_REQUESTS:
+            return
+        self.caller_server.record_pipelining(self)
+        PIPELINES.pause(PIPELINED_REQUEST_S, self.limits.idle_timeout_s)
+
+    def has_next_request(self) -> bool:
+        """Tell if bytes of another request have been received."""
+        sock: Any = self.socket
+        timeout_s = sock.gettimeout()
+        sock.settimeout(0.0)
+        try:
+            return bool(self.rfile.peek(1))
+        except OSError:
+            return False
+        finally:
+            sock.settimeout(timeout_s)
+
+    def read_until(self, end: re.Pattern[bytes], start: bytes, max_bytes: int) -> bytes:
+        """Read until `end`, the end of the input or a little more than `max_bytes`.
+
+        The result begins with `start`, bytes read before that `end` may begin with.
+        What is read is kept as bytes, and its memory is counted: as lines, short ones
+        would take many times their size.
+        """
+        data = bytearray(start)
+        searched = 0
+        while len(data) <= max_bytes:
+            part = self.rfile.peek(1)
+            if not part:
+                break
+            data += part
+            found = end.search(data, searched)
+            if found is not None:
+                surplus = len(data) - found.end()
+                self.rfile.read(len(part) - surplus)
+                del data[found.end() :]
+                break
+            self.rfile.read(len(part))
+            searched = max(0, len(data) - 2)
+            self.count_head(len(data))
+        return bytes(data)
+
+    def count_head(self, size: int) -> None:
+        """Count the memory of the head; raise BufferLimitError if there is none."""
+        if self.head_reservation is not None:
+            self.head_reservation.resize(size)
 
     def read_request(self, raw_requestline: str) -> Any:
         """Read the head within the limits on its size and time."""
         with gevent.Timeout(self.limits.head_timeout_s, TimeoutError("head")):
-            return super().read_request(raw_requestline)
+            read: Any = super().read_request(raw_requestline)
+        if self.head_reservation is not None:
+            self.head_reservation.keep()
+        self.caller_server.record_busy(self)
+        return read
 
     def MessageClass(self, *args: Any) -> Any:  # noqa: N802
-        """Parse the header lines with a limit on their size."""
-        return RequestHead(args[0])
+        """Read and parse the header lines with a limit on their size."""
+        max_bytes = self.limits.max_head_bytes
+        data = self.read_until(END_OF_HEAD, b"\n", max_bytes + 1)[1:]
+        if len(data) > max_bytes:
+            raise HeadTooLargeError
+        size = len(self.requestline or "") + len(data)
+        self.count_head(size + HEADER_LINE_BYTES * data.count(b"\n"))
+        if END_OF_HEAD.search(b"\n" + data[-3:]) is None:
+            raise ValueError("incomplete head")
+        return RequestHead(data)
 
     def log_request(self) -> None:
         """Log nothing: the host logs its calls."""
 
     def handle_one_request(self) -> Any:
         """Serve one request; turn malformed heads into problem details."""
-        result = super().handle_one_request()
+        try:
+            result = super().handle_one_request()
+        except BufferLimitError as error:
+            # Raised while the request line was read.
+            result = self._handle_client_error(error)
+        finally:
+            if self.head_reservation is not None:
+                self.head_reservation.release()
+                self.head_reservation = None
         self.request_count += 1
         if isinstance(result, tuple) and result[0] == "414":
             result = head_problem(414, "request_line_too_long", "request line too long")
         if isinstance(result, tuple):
+            self.caller_server.record_ended(f"status_{result[0]}")
             self.should_linger = True
-            self.socket.sendall(result[1])
+            try:
+                self.send_all(result[1])
+            except OSError:
+                return None
             self.linger()
             return None
         if self.should_linger:
@@ -200,8 +330,14 @@
         if isinstance(ex, TimeoutError):
             return head_problem(408, "head_timeout", "the request head took too long")
         if isinstance(ex, HeadTooLargeError):
-            detail = f"request head exceeds {MAX_HEAD_BYTES} bytes"
+            detail = f"request head exceeds {self.limits.max_head_bytes} bytes"
             return head_problem(431, "head_too_large", detail)
+        reservation = self.head_reservation
+        if isinstance(ex, BufferLimitError) or (
+            reservation is not None and reservation.is_given_up
+        ):
+            detail = "request heads of this process take too much memory"
+            return head_problem(503, "host_busy", detail, NO_MEMORY_RETRY_AFTER_S)
         return head_problem(400, "malformed_head", "malformed request head")
 
     def get_environ(self) -> dict[str, Any]:
@@ -217,15 +353,19 @@
         for it. Its memory is counted until the response is sent.
         """
         body_input: Any = self.wsgi_input
-        # gevent reads a chunked body in as many steps as it has chunks.
-        size = CHUNKED_READ_BYTES if body_input.chunked_input else READ_BLOCK_BYTES
+        if not (body_input.chunked_input or body_input.content_length):
+            return b""
         turn = ReadTurn()
         body = bytearray()
         reservation = self.body_reservation = REQUEST_BODIES.reserve(self.end_input)
-        while len(body) <= max_bytes:
+        self.caller_server.record_reading(self)
+        # Sends an interim response to a caller that waits for one.
+        body_input.read(0)
+        while len(body) <= max_bytes and not self.is_body_complete:
             turn.check()
             try:
-                part = body_input.read(size)
+                with gevent.Timeout(self.limits.idle_timeout_s, TimeoutError("body")):
+                    part = body_input.read(self.await_body())
             except OSError:
                 # The transfer may have been ended to free its memory.
                 reservation.resize(len(body))
@@ -235,16 +375,40 @@
             body += part
             reservation.resize(len(body))
         reservation.keep()
+        self.caller_server.record_busy(self)
         return bytes(body)
 
+    @property
+    def is_body_complete(self) -> bool:
+        """Tell if the request's body has been read to its end."""
+        body_input: Any = self.wsgi_input
+        if body_input.chunked_input:
+            return bool(body_input.chunk_length == 0)
+        return bool(body_input.position >= body_input.content_length)
+
+    def await_body(self) -> int:
+        """Wait for more of the body; return how much can be read without waiting."""
+        body_input: Any = self.wsgi_input
+        available = len(self.rfile.peek(1))
+        if not body_input.chunked_input:
+            return max(1, available)
+        # gevent reads a chunked body in as many steps as it has chunks.
+        return max(1, min(CHUNKED_READ_BYTES, available - CHUNK_FRAMING_BYTES))
+
     def end_input(self) -> None:
         """Have the greenlet that reads the request find it at an end."""
         self.is_input_ended = True
         with suppress(OSError):
             self.socket.shutdown(socket.SHUT_RD)
 
+    def end_output(self) -> None:
+        """Have the greenlet that sends the response find the connection at an end."""
+        shut_down(self)
+        self.caller_server.record_ended("unread_response")
+
     def handle_one_response(self) -> None:
         """Produce one response; return the memory of the request's body."""
+        self.held_bytes = 0
         try:
             super().handle_one_response()
         finally:
@@ -368,11 +532,20 @@
         except BlockingIOError:
             sent = 0
         if sent < len(data):
-            error = CallerDisconnectedError(
-                errno.EPIPE, "the caller does not read its response"
-            )
-            with gevent.Timeout(self.limits.write_timeout_s, error):
-                sock.sendall(memoryview(data)[sent:])
+            self.send_waiting(memoryview(data)[sent:])
+
+    def send_waiting(self, data: memoryview) -> None:
+        """Send what the caller has no room for yet, as long as memory lasts."""
+        with UNREAD_RESPONSES.reserve(self.end_output) as reservation:
+            try:
+                reservation.resize(max(len(data), self.held_bytes))
+                with gevent.Timeout(self.limits.write_timeout_s, TimeoutError("write")):
+                    self.socket.sendall(data)
+            except (BufferLimitError, TimeoutError, BrokenPipeError):
+                # Without the cause, whose traceback would hold the data in a cycle.
+                raise CallerDisconnectedError(
+                    errno.EPIPE, "the caller does not read its response"
+                ) from None
 
     @contextmanager
     def watch_disconnect(self) -> Iterator[None]:
@@ -410,7 +583,13 @@
 
     max_accept = MAX_ACCEPTS_PER_LOOP
 
-    def __init__(self, address: str, application: Any, limits: CallerLimits) -> None:
+    def __init__(
+        self,
+        address: str,
+        application: Any,
+        limits: CallerLimits,
+        metrics: Metrics | None = None,
+    ) -> None:
         ip, _, port = address.rpartition(":")
         super().__init__(
             (ip, int(port)),
@@ -421,8 +600,12 @@
         )
         self.limits = limits
         self.handlers: set[CallerHandler] = set()
-        self.rejected = 0
+        self.metrics = metrics
+        self.ended: Counter[str] = Counter()
+        self.logged_at = 0.0
         self.unused_connections: dict[CallerHandler, None] = {}
+        self.reading: dict[CallerHandler, None] = {}
+        self.pipelining: dict[CallerHandler, None] = {}
         self.idle: dict[CallerHandler, None] = {}
 
     @property
@@ -446,25 +629,53 @@
         """Serve one connection, or reject it if there are too many."""
         limits = self.limits
         while len(self.unused_connections) >= limits.max_unused_connections:
-            self.close_oldest(self.unused_connections)
-        if self.open_connections >= limits.max_connections:
-            if not (self.unused_connections or self.idle):
+            self.close_oldest("unused", self.unused_connections)
+        while self.open_connections >= limits.max_connections:
+            # Idle connections of ordinary callers go last.
+            groups = {
+                "unused": self.unused_connections,
+                "reading": self.reading,
+                "pipelining": self.pipelining,
+                "idle": self.idle,
+            }
+            cause = next((name for name, group in groups.items() if group), "")
+            if not cause:
                 self.reject(sock)
                 return
-            self.close_oldest(self.unused_connections or self.idle)
+            self.close_oldest(cause, groups[cause])
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         super().handle(sock, address)
 
-    def close_oldest(self, group: dict[CallerHandler, None]) -> None:
-        """Close the connection that has waited longest in a group."""
+    def close_oldest(self, cause: str, group: dict[CallerHandler, None]) -> None:
+        """Close the connection that has been in a group for longest."""
         handler = next(iter(group))
-        del group[handler]
-        self.rejected += 1
+        self.remove_connection(handler)
+        self.record_ended(cause)
         shut_down(handler)
 
+    def record_ended(self, cause: str) -> None:
+        """Count a connection that this server ended; log the counts at intervals."""
+        self.ended[cause] += 1
+        if self.metrics is not None:
+            self.metrics.add("filbertyard_connections_ended_total", cause=cause)
+        now = time.monotonic()
+        if now - self.logged_at < ENDED_LOG_INTERVAL_S:
+            return
+        self.logged_at = now
+        counts = ",".join(f"{name}:{count}" for name, count in self.ended.items())
+        log_event(
+            logger,
+            "connections_ended",
+            level=logging.WARNING,
+            port=self.server_port,
+            open=self.open_connections,
+            causes=counts,
+        )
+        self.ended.clear()
+
     def reject(self, sock: Any) -> None:
         """Respond with 503 to a connection above the limit."""
-        self.rejected += 1
+        self.record_ended("too_many_connections")
         _, response = head_problem(
             503, "too_many_connections", "this host has too many connections", 1.0
         )
@@ -485,12 +696,25 @@
 
     def record_idle(self, handler: CallerHandler) -> None:
         """Record that a connection waits for a request."""
+        self.record_busy(handler)
         group = self.idle if handler.request_count else self.unused_connections
         group[handler] = None
 
+    def record_reading(self, handler: CallerHandler) -> None:
+        """Record that a connection has begun a request that is not complete."""
+        self.record_busy(handler)
+        self.reading[handler] = None
+
+    def record_pipelining(self, handler: CallerHandler) -> None:
+        """Record that a connection waits for its turn with its next request."""
+        self.record_busy(handler)
+        self.pipelining[handler] = None
+
     def record_busy(self, handler: CallerHandler) -> None:
         """Record that a connection sent a request or ended."""
         self.unused_connections.pop(handler, None)
+        self.reading.pop(handler, None)
+        self.pipelining.pop(handler, None)
         self.idle.pop(handler, None)
 
 
@@ -517,7 +741,10 @@
 
 
 def create_caller_server(
-    address: str, application: Any, limits: CallerLimits | None = None
+    address: str,
+    application: Any,
+    limits: CallerLimits | None = None,
+    metrics: Metrics | None = None,
 ) -> CallerServer:
     """Return a server at `IP:PORT`, not started yet."""
-    return CallerServer(address, application, limits or CallerLimits())
+    return CallerServer(address, application, limits or CallerLimits(), metrics)
--- a/src/filbertyard/gateway/host.py
+++ b/src/filbertyard/gateway/host.py
@@ -68,6 +68,10 @@
 # Waiting requests of callers beyond this many connections are rejected.
 MAX_CALLER_CONNECTIONS = 1800
 
+# Connections to each address for queries about the host. An answer takes a millisecond,
+# and callers ask once each few seconds.
+MAX_DIRECTORY_CONNECTIONS = 512
+
 STORE_TIMEOUT_S = 1.0
 
 # Interval between checks of a stopping host.
@@ -181,10 +185,16 @@
         """Listen and start all tasks."""
         settings = self.settings
         limits = self.caller_limits()
-        self.servers.append(create_caller_server(settings.callers, self.entry, limits))
+        self.servers.append(
+            create_caller_server(settings.callers, self.entry, limits, self.metrics)
+        )
         addresses = {settings.directory, settings.readiness, settings.metrics} - {""}
         for address in addresses:
-            self.servers.append(create_caller_server(address, self.directory, limits))
+            self.servers.append(
+                create_caller_server(
+                    address, self.directory, self.directory_limits(), self.metrics
+                )
+            )
         for server in self.servers:
             server.start()
         self.peers.start()
@@ -214,8 +224,13 @@
             idle_timeout_s=limits.idle_s,
             first_request_timeout_s=limits.idle_s,
             head_timeout_s=limits.head_s,
+            max_head_bytes=limits.head_bytes,
         )
 
+    def directory_limits(self) -> CallerLimits:
+        """Return the limits on those who ask about the host."""
+        return replace(self.caller_limits(), max_connections=MAX_DIRECTORY_CONNECTIONS)
+
     # Other hosts.
 
     def digest(self) -> Digest:
@@ -265,6 +280,8 @@
             gevent.sleep(OWNER_CHECK_INTERVAL_S)
             # New connections get the limits of the configuration in force.
             self.servers[0].limits = self.caller_limits()
+            for server in self.servers[1:]:
+                server.limits = self.directory_limits()
             for replica in list(self.owned):
                 if replica not in self.claim_table.claims or (
                     replica not in self.state.replicas
--- a/src/filbertyard/gateway/sending.py
+++ b/src/filbertyard/gateway/sending.py
@@ -310,10 +310,12 @@
         response.deadline = max(read_until, time.monotonic() + MIN_READ_S)
         with response.whole_body() as body:
             headers = self.wire.response_headers(response.headers)
-            if response.is_framed:
-                headers.append(("Content-Length", str(len(body))))
-            self.send_head(delivery, response, headers)
-            self.send_body(delivery, body)
+        # While the caller does not read, its connection counts the memory, so that it
+        # can be given up.
+        if response.is_framed:
+            headers.append(("Content-Length", str(len(body))))
+        self.send_head(delivery, response, headers)
+        self.send_body(delivery, body)
 
     def deliver_stream(
         self, delivery: Delivery, replica: Replica, response: HttpResponse
--- a/src/filbertyard/host.py
+++ b/src/filbertyard/host.py
@@ -25,6 +25,7 @@
 from .attemptlog import AttemptQuestion
 from .attempts import Attempts
 from .callers import CallerApplication
+from .callerserver import CallerLimits
 from .callerserver import create_caller_server
 from .calls import Call
 from .discovery import describe_members
@@ -84,6 +85,9 @@
 
 HANDOVER_TIMEOUT_S = 30.0
 
+# Limits on clients of the operators' interface, which a person or a script uses.
+OPERATOR_LIMITS = CallerLimits(max_connections=64, max_unused_connections=32)
+
 # Time for the last gossip of a leaving host to be sent.
 FINAL_GOSSIP_S = 0.5
 
@@ -183,7 +187,15 @@
         self.peers.handle(Record, self.deduplicator.handle_record)
         self.peers.start()
         ip = self.settings.callers.rpartition(":")[0]
-        self.server = create_caller_server(self.settings.callers, self.serve_caller)
+        self.server = create_caller_server(
+            self.settings.callers,
+            self.serve_caller,
+            CallerLimits(
+                max_connections=self.settings.max_connections,
+                max_head_bytes=self.settings.max_head_bytes,
+            ),
+            self.observer.metrics,
+        )
         self.server.start()
         self.membership.local_member.callers = f"{ip}:{self.server.server_port}"
         self.membership.local_member.peers = self.peers.address
@@ -267,9 +279,12 @@
         """Listen for operators if the settings name an address."""
         if not self.settings.operators:
             return
-        ip, _, port = self.settings.operators.rpartition(":")
-        application = OperatorApplication(self, self.settings.operator_key)
-        self.operator_server = WSGIServer((ip, int(port)), application, log=None)
+        self.operator_server = create_caller_server(
+            self.settings.operators,
+            OperatorApplication(self, self.settings.operator_key),
+            OPERATOR_LIMITS,
+            self.observer.metrics,
+        )
         self.operator_server.start()
 
     def stop(self) -> None:
--- a/src/filbertyard/hostsettings.py
+++ b/src/filbertyard/hostsettings.py
@@ -66,6 +66,10 @@
     operator_key: str = Field(default="", description="authenticates operators")
     shared_key: str = Field(min_length=16, description="authenticates entry hosts")
     max_age_s: float = Field(default=10.0, ge=0)
+    max_connections: int = Field(default=2048, ge=1, description="of callers")
+    max_head_bytes: int = Field(
+        default=32768, ge=1024, description="header lines of a request"
+    )
     policy: str = "shares"
     log_level: Literal["debug", "info", "warning", "error"] = "info"
     tracing: TracingSettings = TracingSettings()
--- a/src/filbertyard/httpcalls.py
+++ b/src/filbertyard/httpcalls.py
@@ -161,7 +161,12 @@
         Raise UpstreamError if it is cut short or too large.
         """
         body = bytearray()
-        with RESPONSE_BODIES.reserve(self.interrupt) as reservation:
+
+        def give_up() -> None:
+            body.clear()
+            self.interrupt()
+
+        with RESPONSE_BODIES.reserve(give_up) as reservation:
             for part in self.parts():
                 body += part
                 try:
--- a/src/filbertyard/metrics.py
+++ b/src/filbertyard/metrics.py
@@ -40,6 +40,7 @@
 
 COUNTERS = {
     "filbertyard_key_value_calls_total": "Calls of the key-value service by outcome.",
+    "filbertyard_connections_ended_total": "Connections of clients ended by cause.",
     "filbertyard_requests_total": "Requests by rank and outcome.",
     "filbertyard_first_tokens_in_target_total": "First tokens within their target.",
     "filbertyard_tokens_total": "Parts of streamed responses relayed to callers.",
--- a/src/filbertyard/operators.py
+++ b/src/filbertyard/operators.py
@@ -92,7 +92,8 @@
     def answer(self, environ: dict[str, t.Any]) -> OperatorResponse:
         """Return the response to one request."""
         found = environ.get("HTTP_AUTHORIZATION", "")
-        if not hmac.compare_digest(found, f"Bearer {self.operator_key}"):
+        expected = f"Bearer {self.operator_key}".encode()
+        if not hmac.compare_digest(found.encode(errors="replace"), expected):
             return OperatorResponse(
                 {"error": "the operator key is missing or wrong"}, 401
             )
@@ -116,7 +117,12 @@
         raise RequestError(
             "body", f"{length} bytes", f"at most {MAX_OPERATOR_BODY_BYTES}"
         )
-    data = environ["wsgi.input"].read()
+    # A chunked body states no length.
+    data = environ["wsgi.input"].read(MAX_OPERATOR_BODY_BYTES + 1)
+    if len(data) > MAX_OPERATOR_BODY_BYTES:
+        raise RequestError(
+            "body", f"over {MAX_OPERATOR_BODY_BYTES} bytes", "a smaller body"
+        )
     try:
         body = json.loads(data) if data else None
     except ValueError as error:
--- a/src/filbertyard/readlimits.py
+++ b/src/filbertyard/readlimits.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import time
 from collections.abc import Callable
 from types import TracebackType
@@ -20,9 +21,30 @@
 # Longest time that one greenlet keeps the others of them waiting.
 MAX_PAUSE_S = 0.1
 
-# Memory for bodies of responses, and for those of requests, in one process. The
-# smallest hosts have 200 MB, of which the process itself takes a quarter.
-MAX_BUFFERED_BYTES = 24 * 1024 * 1024
+# Memory for bodies of responses, and for those of requests, in one process. The largest
+# body that is read as a whole has 16 MiB.
+MAX_BUFFERED_BYTES = 17 * 1024 * 1024
+
+# Memory for heads, bodies and unread responses together. The smallest hosts have
+# 160 MB, of which the process itself takes a third and its connections another one.
+MAX_HELD_BYTES = 40 * 1024 * 1024
+
+# Memory for the heads of requests, until their responses end. As many connections as a
+# gateway host takes, each with a head of ten lines and 1 KB, need 11 MB.
+MAX_HELD_HEADS_BYTES = 16 * 1024 * 1024
+
+# Given-up memory is in use until the greenlet that holds it has run. While there is
+# more than this of it, others wait for so many polls before they take memory.
+MAX_UNRELEASED_BYTES = 1024 * 1024
+RELEASE_POLL_S = 0.001
+MAX_RELEASE_POLLS = 20
+
+# Memory for responses that their callers do not read as fast as they are sent.
+MAX_UNREAD_BYTES = 4 * 1024 * 1024
+
+# Processor time of a small request. Connections that always have another one ready get
+# `READ_SHARE` of the processor together, one request of one of them at a time.
+PIPELINED_REQUEST_S = 0.002
 
 
 class ReadScheduler:
@@ -49,11 +71,16 @@
             gevent.sleep(pause_s)
         finally:
             self.turn.release()
+        # The next one in line gets the turn, which this one could take again at once.
+        gevent.sleep(0)
 
 
 # The processor is shared by all connections of the process.
 SCHEDULER = ReadScheduler()
 
+# Turns of connections whose next request has arrived before the last response.
+PIPELINES = ReadScheduler()
+
 
 class ReadTurn:
     """Time for which one greenlet has read without waiting."""
@@ -87,6 +114,7 @@
         self.pool = pool
         self.on_give_up = on_give_up
         self.size = 0
+        self.unreleased = 0
         self.is_given_up = False
 
     def __enter__(self) -> Reservation:
@@ -103,9 +131,9 @@
     def resize(self, size: int) -> None:
         """Record the size received so far; raise BufferLimitError if it is too much."""
         if not self.is_given_up:
-            self.pool.used_bytes += size - self.size
-            self.size = size
+            self.count(size)
             self.pool.give_up_largest()
+            self.pool.budget.await_release()
         if self.is_given_up:
             raise BufferLimitError(
                 f"bodies of this process exceed {self.pool.max_bytes} bytes",
@@ -113,6 +141,15 @@
                 peer="",
             )
 
+    def give_up(self) -> None:
+        """End the transfer; its holder releases the memory."""
+        self.unreleased = self.size
+        self.pool.budget.unreleased_bytes += self.size
+        self.pool.receiving.discard(self)
+        self.count(0)
+        self.is_given_up = True
+        self.on_give_up()
+
     def keep(self) -> None:
         """Record that the body is complete and stays until it is released."""
         self.pool.receiving.discard(self)
@@ -120,8 +157,45 @@
     def release(self) -> None:
         """Return the memory to the pool."""
         self.pool.receiving.discard(self)
-        self.pool.used_bytes -= self.size
-        self.size = 0
+        self.count(0)
+        self.pool.budget.unreleased_bytes -= self.unreleased
+        self.unreleased = 0
+
+    def count(self, size: int) -> None:
+        """Change the size that is counted."""
+        self.pool.used_bytes += size - self.size
+        self.pool.budget.used_bytes += size - self.size
+        self.size = size
+
+
+class MemoryBudget:
+    """Limit on the memory of several pools together."""
+
+    def __init__(self, max_bytes: float = math.inf) -> None:
+        self.max_bytes = max_bytes
+        self.used_bytes = 0
+        self.unreleased_bytes = 0
+        self.pools: list[BufferPool] = []
+
+    def await_release(self) -> None:
+        """Wait a little while much of what was given up is still held."""
+        for _ in range(MAX_RELEASE_POLLS):
+            if self.unreleased_bytes <= MAX_UNRELEASED_BYTES:
+                return
+            gevent.sleep(RELEASE_POLL_S)
+
+    def give_up_largest(self) -> None:
+        """Give up what is largest in any pool until the rest fits."""
+        while self.used_bytes > self.max_bytes:
+            found = [pool.largest() for pool in self.pools]
+            largest = max(
+                (item for item in found if item is not None),
+                key=lambda item: item.size,
+                default=None,
+            )
+            if largest is None:
+                return
+            largest.give_up()
 
 
 class BufferPool:
@@ -129,11 +203,17 @@
 
     A limit on each body bounds no process that receives many. When all together exceed
     `max_bytes`, the largest that is still being received is given up, so that bodies of
-    the usual size get through beside some without end.
+    the usual size get through beside some without end. `spared` of them are never given
+    up, whatever their size.
     """
 
-    def __init__(self, max_bytes: int) -> None:
+    def __init__(
+        self, max_bytes: int, budget: MemoryBudget | None = None, spared: int = 0
+    ) -> None:
         self.max_bytes = max_bytes
+        self.spared = spared
+        self.budget = budget or MemoryBudget()
+        self.budget.pools.append(self)
         self.used_bytes = 0
         self.receiving: set[Reservation] = set()
 
@@ -143,14 +223,26 @@
         self.receiving.add(reservation)
         return reservation
 
+    def largest(self) -> Reservation | None:
+        """Return the largest that may be given up, None if there is none."""
+        if len(self.receiving) <= self.spared:
+            return None
+        return max(self.receiving, key=lambda item: item.size)
+
     def give_up_largest(self) -> None:
         """Give up bodies that are being received until the others fit."""
-        while self.used_bytes > self.max_bytes and self.receiving:
-            largest = max(self.receiving, key=lambda item: item.size)
-            largest.release()
-            largest.is_given_up = True
-            largest.on_give_up()
+        while self.used_bytes > self.max_bytes:
+            largest = self.largest()
+            if largest is None:
+                break
+            largest.give_up()
+        self.budget.give_up_largest()
+
 
+HELD = MemoryBudget(MAX_HELD_BYTES)
+RESPONSE_BODIES = BufferPool(MAX_BUFFERED_BYTES, HELD)
+REQUEST_BODIES = BufferPool(MAX_BUFFERED_BYTES, HELD)
+REQUEST_HEADS = BufferPool(MAX_HELD_HEADS_BYTES, HELD)
 
-RESPONSE_BODIES = BufferPool(MAX_BUFFERED_BYTES)
-REQUEST_BODIES = BufferPool(MAX_BUFFERED_BYTES)
+# One caller that reads slowly may hold a response of any size.
+UNREAD_RESPONSES = BufferPool(MAX_UNREAD_BYTES, HELD, spared=1)
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -11,6 +11,7 @@
 from filbertyard.exceptions import BufferLimitError
 from filbertyard.platform.standins import SIGNED_HEAD
 from filbertyard.readlimits import BufferPool
+from filbertyard.readlimits import MemoryBudget
 from gatewayfleet import wait_until
 from soak import Process
 from soak import Soak
@@ -121,3 +122,29 @@
     kept.release()
     assert pool.used_bytes == 0
     assert not pool.receiving
+
+
+def test_pools_share_a_budget() -> None:
+    """Guards against a sum of pools that no host has memory for."""
+    budget = MemoryBudget(100)
+    given_up: list[str] = []
+    heads, bodies = BufferPool(60, budget), BufferPool(60, budget)
+    head = heads.reserve(lambda: given_up.append("head"))
+    body = bodies.reserve(lambda: given_up.append("body"))
+    body.resize(55)
+    head.resize(50)
+    assert given_up == ["body"]
+    assert budget.used_bytes == 50
+    head.release()
+    assert budget.used_bytes == heads.used_bytes == bodies.used_bytes == 0
+
+
+def test_one_slow_caller_may_hold_any_response() -> None:
+    """Guards against a limit that a caller on its own reaches."""
+    given_up: list[str] = []
+    pool = BufferPool(100, spared=1)
+    large = pool.reserve(lambda: given_up.append("large"))
+    large.resize(500)
+    assert not given_up
+    pool.reserve(lambda: given_up.append("small")).resize(10)
+    assert given_up == ["large"]
