Treat a status outside 100 to 599 as bytes that are no response

Here the client took 000 and 099 for interim responses: on a connection that stays open the request was held until its time was over. 600 and 999 were passed on to callers, 101 too where its connection went on. Interim responses had a limit on their bytes only.

The exchange fails at once now, its connection is closed and the outcome is unknown, as for other bytes that are no response. More than 16 interim responses and a change of the protocol are treated alike.

--- a/src/filbertyard/httpcalls.py
+++ b/src/filbertyard/httpcalls.py
@@ -43,7 +43,17 @@
 # A larger body is not sent in one write with its head.
 MAX_COALESCED_BYTES = 64 * 1024
 
+# Statuses of interim and of final responses. Other bytes are no response.
+MIN_INTERIM_STATUS = 100
 MIN_FINAL_STATUS = 200
+MAX_FINAL_STATUS = 599
+
+# The connection speaks another protocol afterwards, for which no request of this client
+# asks.
+SWITCHING_PROTOCOLS = 101
+
+# Interim responses before a final one.
+MAX_INTERIM_RESPONSES = 16
 
 # Responses with these statuses end with their head.
 BODILESS_STATUSES = (204, 304)
@@ -72,6 +82,7 @@
     final_status = 0
     received_bytes = 0
     body_bytes = 0
+    interim_responses = 0
 
     @property
     def status_code(self) -> int:
@@ -80,8 +91,15 @@
 
     def _on_headers_complete(self) -> int | bool | None:
         code = int(self.get_code())
+        is_in_range = MIN_INTERIM_STATUS <= code <= MAX_FINAL_STATUS
+        if not is_in_range or code == SWITCHING_PROTOCOLS:
+            raise HTTPParseError(f"status {code:03} is not a response to a request")
         if code >= MIN_FINAL_STATUS:
             self.final_status = code
+        else:
+            self.interim_responses += 1
+            if self.interim_responses > MAX_INTERIM_RESPONSES:
+                raise HTTPParseError("too many interim responses")
         return super()._on_headers_complete()
 
     def _on_body(self, buf: bytearray) -> None:
--- a/tests/test_callpath.py
+++ b/tests/test_callpath.py
@@ -1,6 +1,7 @@
 """Callers, entry hosts and owners against upstreams that fail."""
 
 import contextlib
+import functools
 import json
 import socket
 import time
@@ -639,6 +640,39 @@
     server.stop()
 
 
+@pytest.mark.parametrize("status", [b"000", b"099", b"101", b"600", b"999"])
+def test_an_odd_status_reaches_no_caller(
+    fleet: LocalFleet, peer: HttpPeer, status: bytes
+) -> None:
+    """Regression: 600 was passed on, and 000 held the call until its deadline."""
+
+    def answer(environ: Any, start_response: Any) -> list[bytes]:
+        head = b"HTTP/1.1 " + status + b" Odd\r\nContent-Length: 0\r\n\r\n"
+        environ["standin.handler"].socket.sendall(head)
+        # The connection stays open.
+        gevent.sleep(4.0)
+        return []
+
+    servers = [item.server.server for item in fleet.standins.services.values()]
+    sound = [server.application for server in servers]
+
+    def dispatch(environ: Any, start_response: Any, number: int = 0) -> Any:
+        is_query = environ["PATH_INFO"] in ("/state", "/load")
+        return (sound[number] if is_query else answer)(environ, start_response)
+
+    for number, server in enumerate(servers):
+        server.application = functools.partial(dispatch, number=number)
+    try:
+        headers = {"Filbertyard-Deadline-Ms": "3000"}
+        response = peer.request("POST", "/services/kouga/rakes/x", b"{}", headers)
+        body = json.loads(response.read())
+    finally:
+        for server, application in zip(servers, sound, strict=True):
+            server.application = application
+    assert (response.status, body["execution"]) == (502, "unknown")
+    assert body["code"] != "deadline"
+
+
 def test_upstream_error_tells_if_the_request_was_written() -> None:
     """Guard against `not run` for a request that the server may have read."""
     listener = socket.create_server(("127.0.0.1", 0))
--- a/tests/test_gateway_endless.py
+++ b/tests/test_gateway_endless.py
@@ -101,6 +101,59 @@
     assert endless.sent < MAX_SENT_PARTS
 
 
+# Statuses that no response has, and a change of the protocol that nobody asked for.
+ODD_STATUSES = [b"000", b"001", b"099", b"101", b"600", b"999"]
+
+
+@pytest.mark.parametrize("status", ODD_STATUSES)
+def test_bytes_with_an_odd_status_are_no_response(status: bytes) -> None:
+    """Regression: they were interim responses, or were passed on."""
+    head = b"HTTP/1.1 " + status + b" Odd\r\nContent-Length: 0\r\n\r\n"
+    with raw_server([head, HOLD]) as address:
+        peer = create_http_peer(address)
+        with pytest.raises(UpstreamError) as caught:
+            peer.request("GET", "/", timeout_s=2.0)
+    # Not by the end of its time, after which the code would tell so.
+    assert (caught.value.sent, caught.value.code) == (True, "")
+
+
+def test_few_interim_responses_are_passed_over() -> None:
+    """Guards against a limit that a sound server meets."""
+    interim = b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
+    final = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+    with raw_server([interim * 3, WAIT, interim, final]) as address:
+        assert create_http_peer(address).request("GET", "/").read() == b"ok"
+
+
+def test_slow_interim_responses_without_end_are_given_up() -> None:
+    """Regression: only their bytes were limited, so that the request was held."""
+    parts = [b"HTTP/1.1 100 Continue\r\n\r\n" * 20, HOLD]
+    with raw_server(parts) as address, pytest.raises(UpstreamError) as caught:
+        create_http_peer(address).request("GET", "/", timeout_s=2.0)
+    assert (caught.value.sent, caught.value.code) == (True, "")
+
+
+@pytest.mark.parametrize("status", ODD_STATUSES)
+@pytest.mark.parametrize("path", ["/order/a", "/stock/a", "/note/a"])
+def test_an_odd_status_reaches_no_caller(
+    fleet: GatewayFleet, path: str, status: bytes
+) -> None:
+    """Regression: 600 and above were passed on, and below 100 held the request."""
+    head = SIGNED_HEAD.replace(b"200 OK", status + b" Odd").replace(
+        b"Connection: close", b"Content-Length: 0"
+    )
+
+    def answer() -> Iterator[bytes]:
+        yield head + b"\r\n"
+        # The connection stays open.
+        gevent.sleep(4.0)
+
+    fleet.answer_raw(answer())
+    options: dict[str, Any] = {"path": path, "Deadline_Ms": "3000"}
+    reply = fleet.text("a1", **options) if path == "/note/a" else fleet.send(**options)
+    assert reply.status == (502 if path == "/order/a" else 200)
+
+
 def test_a_body_without_end_is_given_up(fleet: GatewayFleet) -> None:
     endless = Endless(SIGNED_HEAD + b"\r\n")
     fleet.answer_raw(endless)
