Limit the time for a body that no application reads

After a response gevent reads the rest of the request's body without a limit on its time, up to 64 KB of it: a caller that declared five bytes and sent none kept its connection for good, in no group that could be ended for others. The rest is read within the idle timeout now, its connection counts as one with an incomplete request, and after an error the rest is not read at all.

--- a/src/filbertyard/callerserver.py
+++ b/src/filbertyard/callerserver.py
@@ -384,7 +384,7 @@
         body_input: Any = self.wsgi_input
         if body_input.chunked_input:
             return bool(body_input.chunk_length == 0)
-        return bool(body_input.position >= body_input.content_length)
+        return bool(body_input.position >= (body_input.content_length or 0))
 
     def await_body(self) -> int:
         """Wait for more of the body; return how much can be read without waiting."""
@@ -420,6 +420,10 @@
         """Close the connection after the response; leave the body's rest unread."""
         self.close_connection = True
         self.should_linger = True
+        self.skip_body()
+
+    def skip_body(self) -> None:
+        """Have gevent leave the body's rest unread, for which it has no time limit."""
         body: Any = self.wsgi_input
         body.chunked_input = False
         body.content_length = body.position
@@ -459,18 +463,43 @@
             return bool(body.chunk_length != 0)
         return bool((body.content_length or 0) - body.position > READ_BLOCK_BYTES)
 
+    def run_application(self) -> None:
+        """Run the application and send its result."""
+        try:
+            super().run_application()
+        except BaseException:
+            self.close_connection = True
+            self.skip_body()
+            raise
+
     def process_result(self) -> None:
         """Send the result; only a whole response without framing ends in order."""
         if self.has_unread_body:
             # gevent would read the rest before the next request, also one without end.
             self.close_after_response()
         super().process_result()
+        if self.is_aborted:
+            self.skip_body()
+        self.discard_body()
         if self.is_aborted or self.is_framed:
             return
         end_when_closed(self.socket)
         # Closing with unread data of the caller would reset the connection.
         self.should_linger = True
 
+    def discard_body(self) -> None:
+        """Read and drop the small rest of a body; give up one that does not come."""
+        body_input: Any = self.wsgi_input
+        if self.is_body_complete:
+            return
+        self.caller_server.record_reading(self)
+        try:
+            with gevent.Timeout(self.limits.idle_timeout_s, TimeoutError("body")):
+                while not self.is_body_complete:
+                    body_input.read(READ_BLOCK_BYTES)
+        except OSError:
+            self.close_after_response()
+
     def abort(self) -> None:
         """Close the connection at once, so that its response cannot look complete."""
         self.close_connection = True
--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -400,8 +400,9 @@
         b"GET /short HTTP/1.1\r\nX: ",
         b"POST /short HTTP/1.1\r\nContent-Length: 5\r\n\r\n",
         b"POST /short HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n",
+        b"GET /short HTTP/1.1\r\nContent-Length: 5\r\n\r\n",
     ],
-    ids=["head", "body", "chunked body"],
+    ids=["head", "body", "chunked body", "body that nobody reads"],
 )
 def test_incomplete_requests_leave_connections_to_others(start: bytes) -> None:
     """Regression: connections that had begun a request were never ended for others."""
@@ -425,6 +426,16 @@
         assert not sock.recv(4096).startswith(b"HTTP/1.1 200")
 
 
+@pytest.mark.parametrize("connection", [b"keep-alive", b"close"])
+def test_a_body_that_nobody_reads_is_not_awaited_for_long(connection: bytes) -> None:
+    """Regression: the rest of a body was awaited without end after the response."""
+    head = b"GET / HTTP/1.1\r\nContent-Length: 5\r\nConnection: " + connection
+    with small_server(idle_timeout_s=0.3) as connect:
+        sock = connect(head + b"\r\n\r\nab")
+        assert sock.recv(4096).endswith(b"ok")
+        assert not sock.recv(4096)
+
+
 def test_a_request_within_the_limits_may_arrive_slowly() -> None:
     """Guards against limits that end a slow caller."""
     with small_server(idle_timeout_s=0.5) as connect:
