Bound the bytes that wait for slow readers of relayed responses

Between entry hosts up to 4,096 parts of a response waited for each slow caller, whatever their size: 128 parts of 500 KB (64 MB) in the test, 4 GB for a call of the largest frames. They count in a pool of 17 MiB within the budget of the process now; the call that holds most is cancelled.

Cancelling showed another fault: a task that was killed while it wrote a frame closed the stream between the hosts, and with it all other calls. It ends itself after the frame now.

Memory that is free at once when it is given up (parts, bodies in progress) is not waited for any more: a holder that waits for its upstream would have delayed everybody else by 20 ms at each step.

tests/test_peers.py::test_parts_of_slow_calls_are_bounded_in_bytes fails before.

--- a/src/filbertyard/callers.py
+++ b/src/filbertyard/callers.py
@@ -395,7 +395,12 @@
         parts: list[bytes] = []
         size = 0
         ended = False
-        with RESPONSE_BODIES.reserve(parts.clear) as reservation:
+
+        def give_up() -> bool:
+            parts.clear()
+            return True
+
+        with RESPONSE_BODIES.reserve(give_up) as reservation:
             for reply in replies:
                 if isinstance(reply, Chunk):
                     parts.append(reply.data)
--- a/src/filbertyard/httpcalls.py
+++ b/src/filbertyard/httpcalls.py
@@ -180,9 +180,10 @@
         """
         body = bytearray()
 
-        def give_up() -> None:
+        def give_up() -> bool:
             body.clear()
             self.interrupt()
+            return True
 
         with RESPONSE_BODIES.reserve(give_up) as reservation:
             for part in self.parts():
--- a/src/filbertyard/peers.py
+++ b/src/filbertyard/peers.py
@@ -26,6 +26,7 @@
 from result import Ok
 from result import Result
 
+from .exceptions import BufferLimitError
 from .exceptions import CallerDisconnectedError
 from .exceptions import FrameError
 from .exceptions import PeerError
@@ -38,6 +39,7 @@
 from .messages import Message
 from .messages import Problem
 from .messages import message
+from .readlimits import QUEUED_REPLIES
 from .readlimits import ReadTurn
 from .sockets import configure_socket
 
@@ -80,8 +82,6 @@
 
 NONCE_BYTES = 16
 
-Replies: t.TypeAlias = "Queue[tuple[int, Message | None]]"
-
 M = t.TypeVar("M", bound=Message)
 
 Task: t.TypeAlias = "gevent.Greenlet[..., None]"
@@ -131,6 +131,44 @@
     delay_s: float = 0.0
 
 
+class Replies:
+    """Replies to one call that its reader has not taken; their memory is counted."""
+
+    def __init__(self) -> None:
+        self.queue: Queue[tuple[int, Message | None, int]] = Queue()
+        self.reservation = QUEUED_REPLIES.reserve(self.give_up)
+
+    def qsize(self) -> int:
+        """Return the number of replies."""
+        return self.queue.qsize()
+
+    def put(self, item: tuple[int, Message | None], size: int = 0) -> None:
+        """Add a reply, unless its memory has been given up."""
+        try:
+            self.reservation.resize(self.reservation.size + size)
+        except BufferLimitError:
+            return
+        self.queue.put((*item, size))
+
+    def get(self, timeout: float) -> tuple[int, Message | None]:
+        """Take the next reply; raise Empty if there is none in time."""
+        kind, body, size = self.queue.get(timeout=timeout)
+        if size and not self.reservation.is_given_up:
+            self.reservation.resize(self.reservation.size - size)
+        return kind, body
+
+    def give_up(self) -> bool:
+        """Drop the replies, which frees their memory; the reader finds the end."""
+        while not self.queue.empty():
+            self.queue.get_nowait()
+        self.queue.put((DONE, None, 0))
+        return True
+
+    def close(self) -> None:
+        """Return the memory."""
+        self.reservation.release()
+
+
 class Connection:
     """One stream to another host; one greenlet reads it."""
 
@@ -146,6 +184,7 @@
         self.traffic = traffic
         self.faults = faults
         self.max_frame_bytes = MAX_HELLO_BYTES
+        self.received_frame_bytes = 0
         self.used_at = time.monotonic()
         self.version = PROTOCOL_VERSION
         self.codec = codec
@@ -153,6 +192,8 @@
         self.host = ""
         self.instance = ""
         self.send_lock = BoundedSemaphore(1)
+        # The greenlet that writes a frame.
+        self.sender: Any = None
         self.pending: dict[int, Replies] = {}
         self.tasks: dict[int, Task] = {}
         self.call_ids = itertools.count(1)
@@ -175,6 +216,7 @@
         with self.send_lock:
             if self.closed:
                 raise ConnectionResetError("connection is closed")
+            self.sender = gevent.getcurrent()
             try:
                 with gevent.Timeout(
                     SEND_TIMEOUT_S, TimeoutError("peer does not read its stream")
@@ -184,6 +226,8 @@
                 # A partly written frame makes the rest of the stream unreadable.
                 self.close()
                 raise
+            finally:
+                self.sender = None
             self.used_at = time.monotonic()
             self.traffic.bytes_sent += len(data) + 4
             if type(body) in CONTROL_MESSAGES:
@@ -202,6 +246,7 @@
         with gevent.Timeout(FRAME_TIMEOUT_S, timeout_error):
             data = self.read_exactly(size)
         self.used_at = time.monotonic()
+        self.received_frame_bytes = size
         kind, call_id, body = self.codec.decode(data)
         if type(body) in CONTROL_MESSAGES:
             self.traffic.control_bytes_received += size + 4
@@ -382,7 +427,9 @@
             kind, call_id, body = connection.receive()
             if kind == CANCEL:
                 task = connection.tasks.pop(call_id, None)
-                if task is not None:
+                # A task that is killed while it writes a frame breaks the stream; it
+                # ends itself after the frame.
+                if task is not None and task is not connection.sender:
                     task.kill(block=False)
             elif kind == REQUEST and body is not None:
                 if len(connection.tasks) >= MAX_PEER_REQUESTS:
@@ -421,6 +468,8 @@
                 return
             for item in reply:
                 connection.send(ITEM, call_id, item)
+                if call_id not in connection.tasks:
+                    return
             connection.send(DONE, call_id, None)
         except (FrameError, OSError) as error:
             log_event(
@@ -544,12 +593,12 @@
                 queue = connection.pending.get(call_id)
                 if queue is None:
                     continue
-                if queue.qsize() > MAX_QUEUED_ITEMS:
+                queue.put((kind, body), connection.received_frame_bytes)
+                is_given_up = queue.reservation.is_given_up
+                if is_given_up or queue.qsize() > MAX_QUEUED_ITEMS:
                     connection.pending.pop(call_id, None)
                     queue.put((DONE, None))
                     connection.send(CANCEL, call_id, None)
-                    continue
-                queue.put((kind, body))
         except (FrameError, OSError) as error:
             log_event(
                 logger,
@@ -581,7 +630,7 @@
         except PeerError as error:
             return Err(error)
         call_id = next(connection.call_ids)
-        queue: Replies = Queue()
+        queue = Replies()
         connection.pending[call_id] = queue
         step = type(body).__name__
         self.traffic.requests_sent[step] += 1
@@ -598,6 +647,7 @@
             return Err(PeerError(str(error), step=step, peer=host, sent=True))
         finally:
             connection.pending.pop(call_id, None)
+            queue.close()
         if kind == DONE:
             return Err(PeerError(STREAM_BROKE, step=step, peer=host, sent=True))
         if isinstance(reply, Problem):
@@ -630,7 +680,7 @@
         """
         connection = self.connect(host)
         call_id = next(connection.call_ids)
-        queue: Replies = Queue()
+        queue = Replies()
         connection.pending[call_id] = queue
         step = type(body).__name__
         finished = False
@@ -657,6 +707,7 @@
             raise PeerError(str(error), step=step, peer=host, sent=True) from error
         finally:
             connection.pending.pop(call_id, None)
+            queue.close()
             if not finished and not connection.closed:
                 self.send_cancel(connection, call_id)
 
--- a/src/filbertyard/readlimits.py
+++ b/src/filbertyard/readlimits.py
@@ -108,9 +108,12 @@
 
 
 class Reservation:
-    """Memory of one body; `on_give_up` ends its transfer to free the memory."""
+    """Memory of one body; `on_give_up` ends its transfer to free the memory.
 
-    def __init__(self, pool: BufferPool, on_give_up: Callable[[], None]) -> None:
+    It returns true if the memory is free by then, else its holder must release it soon.
+    """
+
+    def __init__(self, pool: BufferPool, on_give_up: Callable[[], bool | None]) -> None:
         self.pool = pool
         self.on_give_up = on_give_up
         self.size = 0
@@ -142,13 +145,14 @@
             )
 
     def give_up(self) -> None:
-        """End the transfer; its holder releases the memory."""
-        self.unreleased = self.size
-        self.pool.budget.unreleased_bytes += self.size
+        """End the transfer; its holder releases the memory if it is not free yet."""
+        size = self.size
         self.pool.receiving.discard(self)
         self.count(0)
         self.is_given_up = True
-        self.on_give_up()
+        if not self.on_give_up():
+            self.unreleased = size
+            self.pool.budget.unreleased_bytes += size
 
     def keep(self) -> None:
         """Record that the body is complete and stays until it is released."""
@@ -217,7 +221,7 @@
         self.used_bytes = 0
         self.receiving: set[Reservation] = set()
 
-    def reserve(self, on_give_up: Callable[[], None]) -> Reservation:
+    def reserve(self, on_give_up: Callable[[], bool | None]) -> Reservation:
         """Return a reservation without memory, for a body that begins."""
         reservation = Reservation(self, on_give_up)
         self.receiving.add(reservation)
@@ -246,3 +250,6 @@
 
 # One caller that reads slowly may hold a response of any size.
 UNREAD_RESPONSES = BufferPool(MAX_UNREAD_BYTES, HELD, spared=1)
+
+# Parts of responses that other hosts have relayed and nobody has taken yet.
+QUEUED_REPLIES = BufferPool(MAX_BUFFERED_BYTES, HELD)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -20,6 +20,7 @@
 from filbertyard.peers import REQUEST
 from filbertyard.peers import Connection
 from filbertyard.peers import PeerNetwork
+from filbertyard.readlimits import QUEUED_REPLIES
 
 KEY = "peer-test-shared-key"
 
@@ -207,3 +208,33 @@
             raise AssertionError("the reply passed the cut")
     pair.b.faults.cut.clear()
     assert pair.works()
+
+
+def test_parts_of_slow_calls_are_bounded_in_bytes(pair: Pair) -> None:
+    """Regression: only the number of parts that wait for a slow caller was limited."""
+    part = "x" * 500_000
+
+    def answer(host: str, echo: Echo) -> Iterator[Message]:
+        return iter([Echo(part)] * (64 if echo.text == "large" else 2))
+
+    pair.b.handle(Echo, answer)
+    slow = [pair.a.stream("b", Echo("large"), 30.0) for _ in range(2)]
+    for stream in slow:
+        assert next(stream)
+    connection = pair.a.connections["b"]
+
+    def waiting_bytes() -> int:
+        return sum(len(part) * queue.qsize() for queue in connection.pending.values())
+
+    deadline = time.monotonic() + 30
+    received = -1
+    while connection.traffic.bytes_received > received:
+        received = connection.traffic.bytes_received
+        gevent.sleep(0.5)
+        assert time.monotonic() < deadline
+        assert waiting_bytes() < 20e6
+    # Calls whose readers keep up go on beside them.
+    assert len(list(pair.a.stream("b", Echo("small"), 30.0))) == 2
+    for stream in slow:
+        stream.close()  # type: ignore[attr-defined]
+    assert QUEUED_REPLIES.used_bytes == 0
