Take a reply from its queue without waiting for memory

Taking a reply only returns memory, but it went through the check that waits for what others give up; if the call was given up meanwhile, its error reached the reader outside of those that it handles. Ending a connection could switch to another greenlet in the same way.

--- a/src/filbertyard/peers.py
+++ b/src/filbertyard/peers.py
@@ -144,17 +144,18 @@
 
     def put(self, item: tuple[int, Message | None], size: int = 0) -> None:
         """Add a reply, unless its memory has been given up."""
-        try:
-            self.reservation.resize(self.reservation.size + size)
-        except BufferLimitError:
-            return
+        if size:
+            try:
+                self.reservation.resize(self.reservation.size + size)
+            except BufferLimitError:
+                return
         self.queue.put((*item, size))
 
     def get(self, timeout: float) -> tuple[int, Message | None]:
         """Take the next reply; raise Empty if there is none in time."""
         kind, body, size = self.queue.get(timeout=timeout)
         if size and not self.reservation.is_given_up:
-            self.reservation.resize(self.reservation.size - size)
+            self.reservation.count(self.reservation.size - size)
         return kind, body
 
     def give_up(self) -> bool:
