--- a/src/filbertyard/hostsettings.py
+++ b/src/filbertyard/hostsettings.py
@@ -79,6 +79,10 @@
         allow_inf_nan=False,
         description="the same for each 1,000 bytes of the call's body",
     )
+    max_connections: int = Field(default=2048, ge=1, description="of callers")
+    max_head_bytes: int = Field(
+        default=32768, ge=1024, description="header lines of a request"
+    )
     policy: str = "shares"
     log_level: Literal["debug", "info", "warning", "error"] = "info"
     tracing: TracingSettings = TracingSettings()
--- a/src/filbertyard/metrics.py
+++ b/src/filbertyard/metrics.py
@@ -40,6 +40,7 @@
 
 COUNTERS = {
     "filbertyard_key_value_calls_total": "Calls of the key-value service by outcome.",
+    "filbertyard_connections_ended_total": "Connections of clients ended by cause.",
     "filbertyard_requests_total": "Requests by rank and outcome.",
     "filbertyard_workspace_requests_total": "Requests by workspace and outcome.",
     "filbertyard_key_rejections_total": "Requests rejected by their API key.",
