Pace, place and probe engines by the slowdown that they report

Cause: owners paced prompts by the time that they should take. On a slow machine prompts piled up in the engine, which reads them between the tokens of all running streams. Placement neither knew the time to read the request's own prompt nor that many requests already waited for the same load; and owners waited for the next event, up to 0.2 s, before they started a request that the engine could take.

Change: owners learn an engine's slowdown from the heads of its responses and, before traffic, from five health requests. Prompts that have had no first event yet are bounded by what delays no event too long; running streams get their share of the time that prefill really took; prompts that would delay events too long wait while the engine is slower than usual. Published loads carry the slowdown, the longest harmless prompt, and the requests that wait for each load.

--- a/src/filbertyard/gateway/admission.py
+++ b/src/filbertyard/gateway/admission.py
@@ -17,6 +17,13 @@
 from typing import TypeVar
 
 from .ratelimits import TokenBucket
+from .speeds import HOLD_GAP_FRACTION
+from .speeds import MAX_PREFILL_S
+from .speeds import PROMPT_GAP_FRACTION
+from .speeds import SLOW_RATIO
+from .speeds import SLOW_RETRY_S
+from .speeds import UNREAD_GAP_FRACTION
+from .speeds import EngineSpeed
 from .types import AdapterName
 
 # Fraction of the engine's KV memory that admitted requests may need in total. The rest
@@ -198,10 +205,12 @@
         slots: int,
         kv_tokens: int,
         max_prefill_backlog_s: float = DEFAULT_PREFILL_BACKLOG_S,
+        max_event_gap_s: float = 0.0,
     ) -> None:
         self.slots = slots
         self.kv_tokens = kv_tokens
         self.max_prefill_backlog_s = max_prefill_backlog_s
+        self.max_event_gap_s = max_event_gap_s
         self.prefill_until = 0.0
         self.waiting: list[QueuedRequest] = []
         self.started: dict[str, StartedRequest] = {}
@@ -214,6 +223,7 @@
         self.starts = 0
         self.first_event_s = 0.0
         self.rate_bucket: TokenBucket | None = None
+        self.speed = EngineSpeed()
 
     def set_rate_limit(self, per_s: float, now: float) -> None:
         """Limit the requests started per second; infinite for no limit."""
@@ -227,7 +237,7 @@
     @property
     def token_cost_s(self) -> float:
         """Return the estimated prefill time of one prompt token."""
-        return self.prefill_cost.token_s
+        return self.prefill_cost.token_s * self.speed.usual
 
     @property
     def memory_tokens(self) -> int:
@@ -286,10 +296,56 @@
         memory = self.memory_tokens + item.tokens
         if memory > MEMORY_FRACTION * self.kv_tokens:
             return False
+        if self.speed.is_reported and not self.has_prefill_room(item, now):
+            return False
         backlog_s = self.prefill_until - now
         own_s = item.prompt_tokens * self.token_cost_s
         return backlog_s <= 0 or backlog_s + own_s <= self.max_prefill_backlog_s
 
+    def prefilling_tokens(self, now: float) -> int:
+        """Return the prompt tokens of the requests that await their first event."""
+        return sum(
+            item.request.prompt_tokens
+            for item in self.started.values()
+            if item.is_prefilling and now - item.started_at < MAX_PREFILL_S
+        )
+
+    def has_prefill_room(self, item: QueuedRequest, now: float) -> bool:
+        """Tell if an engine of varying speed may get another prompt.
+
+        While it is slow, the time that its prompts should take has passed before it
+        has read them. So their first events tell when it has. A prompt that would
+        delay the events of running streams too long waits until it may be faster.
+        """
+        if self.max_event_gap_s <= 0:
+            return True
+        tokens = self.prefilling_tokens(now)
+        if tokens:
+            return tokens + item.prompt_tokens <= self.max_unread_tokens()
+        ratio = self.speed.ratio(now)
+        prefill_s = item.prompt_tokens * self.token_cost_s * ratio
+        max_prefill_s = HOLD_GAP_FRACTION * self.max_event_gap_s
+        return ratio < SLOW_RATIO or prefill_s <= max_prefill_s
+
+    def prefill_pause_s(self, now: float) -> float:
+        """Return when to try again to start a request, 0 if an event will tell."""
+        if not self.speed.is_reported or self.prefilling_tokens(now):
+            return 0.0
+        pause_s = self.prefill_until - now
+        return pause_s if pause_s > 0 else SLOW_RETRY_S
+
+    def max_prompt_tokens(self) -> int:
+        """Return the longest prompt that delays no event too long, 0 if unknown."""
+        if not self.speed.is_reported:
+            return 0
+        max_s = PROMPT_GAP_FRACTION * self.max_event_gap_s
+        return self.speed.tokens_at_peak(max_s, self.prefill_cost.token_s)
+
+    def max_unread_tokens(self) -> int:
+        """Return how many prompt tokens the engine may have to read at once."""
+        max_s = UNREAD_GAP_FRACTION * self.max_event_gap_s
+        return self.speed.tokens_at_peak(max_s, self.prefill_cost.token_s)
+
     def start_next(
         self, now: float, is_ready: Callable[[AdapterName], bool]
     ) -> QueuedRequest | None:
@@ -323,7 +379,12 @@
         )
         tokens = item.tokens_ahead + item.request.prompt_tokens
         if tokens > 0:
-            self.prefill_cost.observe(tokens, now - item.started_at)
+            elapsed_s = now - item.started_at
+            if self.speed.is_reported:
+                # Running streams need their share of the time that prefill really took.
+                pause_s = elapsed_s * (1.0 / self.prefill_duty - 1.0)
+                self.prefill_until = max(self.prefill_until, now + pause_s)
+            self.prefill_cost.observe(tokens, elapsed_s / self.speed.slowdown)
 
     def record_event_gap(self, gap_ratio: float, started_at: float, now: float) -> None:
         """Adapt the prefill duty to the longest gap of a stream.
--- a/src/filbertyard/gateway/delivery.py
+++ b/src/filbertyard/gateway/delivery.py
@@ -52,7 +52,8 @@
     `has_begun` tells if the last replica that got the request sent an event.
     `sent_at` is when the last one was sent. `permit_until` is when the permit for a
     rate-limited replica ends, on the boot clock; `rate_limit` is what the last response
-    showed of the replica's rate limit. `is_framed` tells that the response to the
+    showed of the replica's rate limit, `slowdown` what it showed of the replica's
+    speed, 0 for nothing. `is_framed` tells that the response to the
     caller has a length or chunks. `workspace` is the caller's; without `hides_key` the
     configuration has no workspaces, and what callers state goes to replicas.
     """
@@ -85,6 +86,7 @@
     sent_at: float = 0.0
     permit_until: float = math.inf
     rate_limit: Statement | None = None
+    slowdown: float = 0.0
     replicas: list[str] = field(default_factory=list)
     causes: list[str] = field(default_factory=list)
 
--- a/src/filbertyard/gateway/entry.py
+++ b/src/filbertyard/gateway/entry.py
@@ -113,7 +113,9 @@
 class OwnerClient(Protocol):
     """Ask owners for admission and report the course of requests to them."""
 
-    def candidates(self, service: str, name: AdapterName) -> list[Candidate]:
+    def candidates(
+        self, service: str, name: AdapterName, prompt_tokens: int
+    ) -> list[Candidate]:
         """Return the replicas of a service as this host sees them."""
 
     def request_admission(
@@ -122,7 +124,7 @@
         """Ask the owner of a replica for admission; None if it does not reply."""
 
     def report_first_event(
-        self, replica: str, request_id: str, rate_limit: list[Any]
+        self, replica: str, request_id: str, rate_limit: list[Any], slowdown: float
     ) -> None:
         """Report the first event of the engine's response to the owner."""
 
@@ -353,7 +355,9 @@
                 break
             found = [
                 candidate
-                for candidate in self.owners.candidates(service, name)
+                for candidate in self.owners.candidates(
+                    service, name, request.prompt_tokens
+                )
                 if not excluded[candidate.replica]
             ]
             candidate = choose_replica(str(name), found, request.id)
@@ -733,7 +737,10 @@
     def record_first_event(self, delivery: Delivery, replica: str) -> None:
         """Record that an engine began to answer a request."""
         self.owners.report_first_event(
-            replica, delivery.admission_id(), delivery.rate_limit_row()
+            replica,
+            delivery.admission_id(),
+            delivery.rate_limit_row(),
+            delivery.slowdown,
         )
         self.guard.record_begun(delivery)
 
@@ -767,6 +774,7 @@
             waited_s=delivery.waited_s,
             longest_gap_s=delivery.longest_gap_s or None,
             absent=delivery.was_absent or None,
+            slowdown=delivery.slowdown or None,
             rate_limit=delivery.named_rate(),
             unframed=(delivery.write is not None and not delivery.is_framed) or None,
             admission_attempts=delivery.admission_attempts or None,
--- a/src/filbertyard/gateway/host.py
+++ b/src/filbertyard/gateway/host.py
@@ -288,12 +288,15 @@
         service = configuration.services.get(replica.service)
         if service is None or service.engine is None:
             return
+        max_gap_s = configuration.min_event_gap_s(service.name)
         owner = ReplicaOwner(
             replica=replica,
             limits=service.engine,
             max_prefill_backlog_s=max_prefill_backlog_s(
-                configuration.min_event_gap_s(service.name), service.engine.event_tokens
+                max_gap_s, service.engine.event_tokens
             ),
+            max_event_gap_s=max_gap_s,
+            health_path=service.health_path,
             wire=self.wire,
             host=self.id,
             fence=fence,
@@ -314,9 +317,13 @@
 
     # Messages to owners.
 
-    def candidates(self, service: str, name: AdapterName) -> list[Candidate]:
+    def candidates(
+        self, service: str, name: AdapterName, prompt_tokens: int
+    ) -> list[Candidate]:
         """Return the replicas of a service as this host sees them."""
-        return self.loads.candidates(service, name, self.entry.sender.health)
+        return self.loads.candidates(
+            service, name, self.entry.sender.health, prompt_tokens
+        )
 
     def request_admission(
         self, message: AdmissionRequest, left_s: float
@@ -377,10 +384,11 @@
         return local_owner.admit(message, peer)
 
     def report_first_event(
-        self, replica: str, request_id: str, rate_limit: list[Any]
+        self, replica: str, request_id: str, rate_limit: list[Any], slowdown: float
     ) -> None:
         """Report the first event of the engine's response to the owner."""
-        self.send_to_owner(replica, FirstEvent(replica, request_id, rate_limit))
+        message = FirstEvent(replica, request_id, rate_limit, slowdown)
+        self.send_to_owner(replica, message)
 
     def report_finished(
         self,
@@ -410,7 +418,9 @@
         """Record that an engine answered an admitted request."""
         local_owner = self.owned.get(message.replica)
         if local_owner is not None:
-            local_owner.record_first_event(message.request_id, message.rate_limit)
+            local_owner.record_first_event(
+                message.request_id, message.rate_limit, message.slowdown
+            )
 
     def handle_finished(self, peer: str, message: Finished) -> None:
         """Record the end of an admitted request."""
--- a/src/filbertyard/gateway/loads.py
+++ b/src/filbertyard/gateway/loads.py
@@ -19,6 +19,7 @@
 from .placement import Candidate
 from .ratelimits import RateLimitTable
 from .ratelimits import decode_statement
+from .speeds import aged_ratio
 from .state import GatewayState
 from .types import AdapterName
 from .types import Replica
@@ -133,7 +134,8 @@
                 if rows:
                     names = [row[0] for row in rows]
                     limits = self.rate_limits.rows(names, time.monotonic())
-                    self.fleet.send_to_spokes(LoadBatch(rows, limits))
+                    speeds = self.speed_rows(names)
+                    self.fleet.send_to_spokes(LoadBatch(rows, limits, speeds))
 
     def next_batch(self) -> list[list[Any]]:
         """Return the loads that changed since the last batch."""
@@ -153,6 +155,17 @@
             rows.append(pack(item.load, resident, now - item.at))
         return rows
 
+    def speed_rows(self, replicas: list[str]) -> dict[str, list[float]]:
+        """Return the speeds of the replicas that report a slowdown."""
+        # A replica that is gone is still listed in the last batch.
+        found = [self.relayed.get(replica) for replica in replicas]
+        loads = [item.load for item in found if item is not None]
+        return {
+            load.replica: [round(load.slowdown, 2), load.max_prompt_tokens]
+            for load in loads
+            if load.slowdown > 0
+        }
+
     def handle_load_batch(self, peer: str, batch: LoadBatch) -> None:
         """Record the loads that a hub passes on."""
         now = time.monotonic()
@@ -164,25 +177,47 @@
                     # The hub sends the resident adapters within RESIDENT_INTERVAL_S.
                     continue
                 resident = view.load.resident
-            self.record(replace(load, resident=resident), now - age_s)
+            slowdown, max_prompt_tokens = batch.speeds.get(load.replica, (0.0, 0))
+            load = replace(
+                load,
+                resident=resident,
+                slowdown=slowdown,
+                max_prompt_tokens=int(max_prompt_tokens),
+            )
+            self.record(load, now - age_s)
         for row in batch.rate_limits:
             self.rate_limits.record(decode_statement(row, now))
 
     # Choosing.
 
     def candidates(
-        self, service: str, name: AdapterName, health: HealthTable
+        self,
+        service: str,
+        name: AdapterName,
+        health: HealthTable,
+        prompt_tokens: int = 0,
     ) -> list[Candidate]:
         """Return the replicas of a service as this host sees them."""
         now = time.monotonic()
         return [
-            self.candidate(replica, name, health.failure_rate(replica.id, now), now)
+            self.candidate(
+                replica,
+                name,
+                health.failure_rate(replica.id, now),
+                now,
+                prompt_tokens,
+            )
             for replica in self.state.usable(service)
             if not health.is_backing_off(replica.id, now)
         ]
 
     def candidate(
-        self, replica: Replica, name: AdapterName, own_rate: float, now: float
+        self,
+        replica: Replica,
+        name: AdapterName,
+        own_rate: float,
+        now: float,
+        prompt_tokens: int = 0,
     ) -> Candidate:
         """Return one replica as this host sees it."""
         view = self.views.get(replica.id)
@@ -205,12 +240,18 @@
             is_owner_known=True,
             failure_rate=max(own_rate, min(1.0, load.failure_rate)),
             age_s=now - view.at,
+            prefill_s=prompt_tokens * token_cost_s(view.load, now - view.at)
+            if load.slowdown > 0
+            else 0.0,
+            is_prompt_long=load.running > 0
+            and 0 < load.max_prompt_tokens < prompt_tokens,
         )
 
     def requested_s(self, replica: Replica, view: ReplicaView) -> float:
         """Return the wait that requests since the published load may cause."""
         per_s = self.rate_limits.rate(replica.id, replica.started_ms)
-        prefill_s = view.requested_tokens * view.load.token_cost_s
+        age_s = time.monotonic() - view.at
+        prefill_s = view.requested_tokens * token_cost_s(view.load, age_s)
         return max(prefill_s, view.requests / per_s)
 
     def add_request(self, replica: str, prompt_tokens: int) -> None:
@@ -221,6 +262,13 @@
             view.requests += 1
 
 
+def token_cost_s(load: ReplicaLoad, age_s: float) -> float:
+    """Return the prefill time of one prompt token some time after a published load."""
+    if load.slowdown <= 0:
+        return load.token_cost_s
+    return load.token_cost_s * aged_ratio(load.slowdown, age_s)
+
+
 def pack(
     load: ReplicaLoad, resident: dict[str, list[str]] | None, age_s: float
 ) -> list[Any]:
--- a/src/filbertyard/gateway/messages.py
+++ b/src/filbertyard/gateway/messages.py
@@ -143,12 +143,14 @@
     """Report that the engine sent the first event of an admitted request.
 
     `rate_limit` is what the response showed of the engine's rate limit, empty if
-    nothing; see `Statement.row`.
+    nothing; see `Statement.row`. `slowdown` is what it showed of the engine's speed, 0
+    if nothing.
     """
 
     replica: str
     request_id: str
     rate_limit: list[Any] = field(default_factory=list)
+    slowdown: float = 0.0
 
 
 @message("gateway_finished")
@@ -176,7 +178,10 @@
     `load_wait_s` is the time until an absent adapter could be loaded, negative if the
     owner sends no orders now. `loading` has rows [model, adapter, remaining seconds].
     The load with the highest `fence`, then `number`, is the newest. `rate_limit` is
-    what the owner knows of the rate limit, empty if nothing.
+    what the owner knows of the rate limit, empty if nothing. `slowdown` is how many
+    times as long as usual for this engine work takes, 0 if it does not report that, and
+    `max_prompt_tokens` the longest prompt that delays no event too long while it is
+    slow, 0 if not known.
     """
 
     replica: str
@@ -190,6 +195,8 @@
     resident: dict[str, list[str]]
     loading: list[list[Any]] = field(default_factory=list)
     rate_limit: list[Any] = field(default_factory=list)
+    slowdown: float = 0.0
+    max_prompt_tokens: int = 0
 
 
 @message("gateway_load_batch")
@@ -197,11 +204,13 @@
 class LoadBatch(Message):
     """Pass on published loads, one per row; see `loads.pack`.
 
-    `rate_limits` has the rate limits that the owners published with them.
+    `rate_limits` has the rate limits that the owners published with them, `speeds` the
+    slowdown and the longest prompt of the engines that report a slowdown, by replica.
     """
 
     rows: list[list[Any]]
     rate_limits: list[list[Any]] = field(default_factory=list)
+    speeds: dict[str, list[float]] = field(default_factory=dict)
 
 
 @message("gateway_rate_limits")
--- a/src/filbertyard/gateway/owner.py
+++ b/src/filbertyard/gateway/owner.py
@@ -6,6 +6,7 @@
 import math
 import random
 import time
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import field
@@ -35,6 +36,8 @@
 from .messages import ReplicaLoad
 from .ratelimits import RateLimitTable
 from .ratelimits import decode_statement
+from .speeds import START_PROBE_INTERVAL_S
+from .speeds import START_PROBES
 from .types import AdapterName
 from .types import EngineLimits
 from .types import EngineReport
@@ -116,6 +119,8 @@
         replica: Replica,
         limits: EngineLimits,
         max_prefill_backlog_s: float,
+        max_event_gap_s: float = 0.0,
+        health_path: str = "",
         wire: WireFormat,
         host: str,
         fence: int,
@@ -128,6 +133,7 @@
     ) -> None:
         self.replica = replica
         self.limits = limits
+        self.health_path = health_path
         self.wire = wire
         self.host = host
         self.fence = fence
@@ -136,7 +142,9 @@
         self.publish_interval = publish_interval
         self.rate_limits = rate_limits
         self.metrics = metrics
-        self.queue = EngineQueue(limits.slots, limits.kv_tokens, max_prefill_backlog_s)
+        self.queue = EngineQueue(
+            limits.slots, limits.kv_tokens, max_prefill_backlog_s, max_event_gap_s
+        )
         self.plan = AdapterPlan(limits.adapter_slots, releases)
         self.health = HealthTable()
         self.http = HttpPeer(replica.address, timeout_s=REPORT_TIMEOUT_S, step="order")
@@ -154,6 +162,7 @@
         self.logged_at = float("-inf")
         self.dirty = True
         self.rate_timer: gevent.Greenlet[..., None] | None = None
+        self.prefill_timer: gevent.Greenlet[..., None] | None = None
         self.greenlets: list[gevent.Greenlet[..., None]] = []
 
     def start(self) -> None:
@@ -161,6 +170,7 @@
         self.greenlets = [
             gevent.spawn(self.run_orders),
             gevent.spawn(self.run_admission),
+            gevent.spawn(self.run_speed_probes),
         ]
 
     def stop(self) -> None:
@@ -292,6 +302,7 @@
             )
             if request is None:
                 self.await_rate(now)
+                self.await_prefill(now)
                 return
             self.dirty = True
             pending = self.pending.get(request.id)
@@ -325,6 +336,13 @@
         if wait_s > 0 and self.queue.waiting and not is_pending:
             self.rate_timer = gevent.spawn_later(wait_s, self.admit_later)
 
+    def await_prefill(self, now: float) -> None:
+        """Admit waiting requests again once the engine may prefill the next one."""
+        wait_s = self.queue.prefill_pause_s(now)
+        is_pending = self.prefill_timer is not None and not self.prefill_timer.ready()
+        if wait_s > 0 and self.queue.waiting and not is_pending:
+            self.prefill_timer = gevent.spawn_later(wait_s, self.admit_later)
+
     def record_rate_limit(self, request_id: str, row: list[Any], now: float) -> None:
         """Record what the response to a request showed of the rate limit."""
         if not row:
@@ -348,10 +366,14 @@
             )
 
     def record_first_event(
-        self, request_id: str, rate_limit: list[Any] | None = None
+        self,
+        request_id: str,
+        rate_limit: list[Any] | None = None,
+        slowdown: float = 0.0,
     ) -> None:
         """Record the first event of a request; arguments as in `FirstEvent`."""
         now = time.monotonic()
+        self.queue.speed.record_slowdown(slowdown, now)
         self.record_rate_limit(request_id, rate_limit or [], now)
         started = self.queue.started.get(request_id)
         if started is not None:
@@ -453,6 +475,10 @@
             prefill_duty=queue.prefill_duty,
             late_gap_share=queue.late_gap_share,
             late_start_share=queue.late_start_share,
+            slowdown=queue.speed.slowdown if queue.speed.is_reported else None,
+            prefilling=queue.prefilling_tokens(now),
+            usual_slowdown=queue.speed.usual if queue.speed.is_reported else None,
+            max_prompt_tokens=queue.max_prompt_tokens() or None,
             run_s=queue.run_s,
             resident=len(plan.resident),
             in_use=len(plan.in_use),
@@ -466,6 +492,7 @@
     def current_load(self, now: float) -> ReplicaLoad:
         """Return the replica's load to publish to all hosts."""
         plan = self.plan
+        speed = self.queue.speed
         rate_limits = self.rate_limits.rows([self.replica.id], now)
         resident: dict[str, list[str]] = {model: [""] for model in plan.models}
         for name in plan.resident:
@@ -483,12 +510,40 @@
             + float(self.health.is_backing_off(self.replica.id, now)),
             resident=resident,
             loading=[
-                [name.model, name.adapter, plan.load_left_s(name, now)]
-                for name in plan.loading
+                [name.model, name.adapter, left_s]
+                for name, left_s in self.load_lefts_s(now).items()
             ],
             rate_limit=rate_limits[0] if rate_limits else [],
+            slowdown=speed.ratio(now) if speed.is_reported else 0.0,
+            max_prompt_tokens=self.queue.max_prompt_tokens(),
         )
 
+    def load_lefts_s(self, now: float) -> dict[AdapterName, float]:
+        """Return when a new request for each adapter that is loaded could start.
+
+        For an engine of known speed it starts after the requests that already wait for
+        the adapter, and adapters whose load waits for its turn are listed too. So a
+        popular adapter gets a further copy before its requests pile up.
+        """
+        plan, queue = self.plan, self.queue
+        lefts_s = {name: plan.load_left_s(name, now) for name in plan.loading}
+        if not queue.speed.is_reported:
+            return lefts_s
+        ready_s = queue.wait_s(now, plan.has_latest)
+        tokens: Counter[AdapterName] = Counter()
+        for item in queue.waiting:
+            if not plan.has_latest(item.adapter):
+                tokens[item.adapter] += item.prompt_tokens
+                if item.adapter not in lefts_s:
+                    wait_s = self.load_wait_s(now, item.adapter)
+                    lefts_s[item.adapter] = wait_s if wait_s >= 0 else math.inf
+        prefill_s = queue.token_cost_s / queue.prefill_duty
+        return {
+            name: max(left_s, ready_s) + tokens[name] * prefill_s
+            for name, left_s in lefts_s.items()
+            if left_s < math.inf
+        }
+
     def load_wait_s(self, now: float, name: AdapterName | None = None) -> float:
         """Estimate the time until an absent adapter is loaded.
 
@@ -709,6 +764,35 @@
             ) from error
         self.apply_report(report)
 
+    def run_speed_probes(self) -> None:
+        """Ask an engine for its speed before its first responses show it."""
+        speed = self.queue.speed
+        while self.health_path and speed.reports < START_PROBES:
+            gevent.sleep(START_PROBE_INTERVAL_S * random.uniform(0.5, 1.5))
+            message = self.wire.health(self.replica.id, self.health_path)
+            try:
+                response, _ = self.http.exchange(
+                    message.method,
+                    message.path,
+                    b"",
+                    message.headers,
+                    timeout_s=REPORT_TIMEOUT_S,
+                )
+            except UpstreamError as error:
+                log_event(
+                    logger,
+                    "speed_probe_failed",
+                    replica=self.replica.id,
+                    error=str(error),
+                )
+                continue
+            self.metrics.add("filbertyard_speed_probes_total")
+            head = self.wire.read_response_head(response.status, response.headers)
+            if not head.has_slowdown:
+                return
+            speed.record_slowdown(head.slowdown, time.monotonic())
+            self.dirty = True
+
     def release_orphans(self, report: EngineReport, now: float) -> None:
         """Release the adapters of orphaned requests that the engine no longer runs."""
         for request_id, item in list(self.orphans.items()):
--- a/src/filbertyard/gateway/placement.py
+++ b/src/filbertyard/gateway/placement.py
@@ -13,6 +13,8 @@
 
 import xxhash
 
+from .speeds import LONG_PROMPT_PENALTY_S
+
 # Waiting time equivalent to a failure rate of 1.
 FAILURE_PENALTY_S = 2.0
 
@@ -34,7 +36,9 @@
 
     `load_left_s` is the remaining time of the adapter's load, negative if there is
     none; `load_wait_s` the time until an absent adapter could be loaded, infinite if
-    never; `age_s` the age of the published load.
+    never; `age_s` the age of the published load. `prefill_s` is the time to read the
+    prompt, 0 where the replica does not report its speed. With `is_prompt_long` the
+    prompt may delay the events of running streams too long.
     """
 
     replica: str
@@ -45,6 +49,8 @@
     is_owner_known: bool
     failure_rate: float
     age_s: float = 0.0
+    prefill_s: float = 0.0
+    is_prompt_long: bool = False
 
 
 def estimate_first_event_s(candidate: Candidate) -> float:
@@ -52,11 +58,14 @@
     cost = candidate.wait_s + FAILURE_PENALTY_S * candidate.failure_rate
     if not candidate.is_owner_known:
         cost += UNKNOWN_OWNER_PENALTY_S
+    run_s = candidate.prefill_s
+    if candidate.is_prompt_long:
+        run_s += LONG_PROMPT_PENALTY_S
     if candidate.is_resident:
-        return cost
+        return cost + run_s
     if candidate.load_left_s >= 0:
-        return max(cost, candidate.load_left_s)
-    return cost + candidate.load_wait_s
+        return max(cost, candidate.load_left_s) + run_s
+    return cost + candidate.load_wait_s + run_s
 
 
 def water_level_s(costs: Iterable[float], volume_s: float) -> float:
--- a/src/filbertyard/gateway/sending.py
+++ b/src/filbertyard/gateway/sending.py
@@ -148,6 +148,7 @@
         delivery.sends += 1
         delivery.has_begun = False
         delivery.rate_limit = None
+        delivery.slowdown = 0.0
         delivery.replicas.append(replica.id)
         self.in_flight[replica.id] += 1
         response: HttpResponse | None = None
@@ -252,6 +253,8 @@
                 code="foreign_answer" if is_foreign else "unsigned",
             )
         self.record_rate_limit(delivery, replica, head)
+        if head.has_slowdown:
+            delivery.slowdown = head.slowdown
         if head.running >= 0:
             self.reported_loads[replica.id] = (now, head.running + head.waiting)
         if head.is_not_run:
--- a/src/filbertyard/gateway/types.py
+++ b/src/filbertyard/gateway/types.py
@@ -84,11 +84,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Service:
-    """One service; `engine` is None for a plain one."""
+    """One service; `engine` is None for a plain one.
+
+    `health_path` is where its replicas report their health, empty if nowhere.
+    """
 
     name: str
     max_connections: int
     engine: EngineLimits | None = None
+    health_path: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/filbertyard/gateway/wire.py
+++ b/src/filbertyard/gateway/wire.py
@@ -26,13 +26,14 @@
     """Load that a replica reports: its requests, its slots, how slow it is now.
 
     `running` is -1 and `slots` 0 if not stated. Work takes `slowdown` times as long as
-    usual on the replica's machine.
+    usual on the replica's machine; `has_slowdown` tells if it was stated.
     """
 
     running: int = -1
     waiting: int = 0
     slots: int = 0
     slowdown: float = 1.0
+    has_slowdown: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,9 +42,10 @@
 
     `is_not_run` tells that by its own statement the replica did not and will not run
     the request, `is_adapter_absent` that it does not hold the adapter or is another
-    replica. `running`, `waiting`, `slots` and `slowdown` are as in `ReportedLoad`.
-    `rate_limit` is the number of requests per second that it takes from all hosts
-    together: infinite if the head names no limit, None if it names an unreadable one.
+    replica. `running`, `waiting`, `slots`, `slowdown` and `has_slowdown` are as in
+    `ReportedLoad`. `rate_limit` is the number of requests per second that it takes from
+    all hosts together: infinite if the head names no limit, None if it names an
+    unreadable one.
     """
 
     status: int
@@ -55,6 +57,7 @@
     waiting: int = 0
     slots: int = 0
     slowdown: float = 1.0
+    has_slowdown: bool = False
     rate_limit: float | None = math.inf
 
 
@@ -153,6 +156,9 @@
     def report(self, replica: str) -> HttpMessage:
         """Return the HTTP request for an engine's report."""
 
+    def health(self, replica: str, path: str) -> HttpMessage:
+        """Return the request for a replica's health."""
+
     def read_report(self, body: bytes, replica: str) -> EngineReport:
         """Decode an engine's report; raise DocumentError."""
 
--- a/src/filbertyard/platform/documents.py
+++ b/src/filbertyard/platform/documents.py
@@ -153,6 +153,7 @@
 
     name: str
     max_connections: Count = Field(default=100, alias="maxConnections")
+    health_path: str = Field(default="", alias="healthPath")
     engine: EngineDocument | None = None
 
 
@@ -286,6 +287,7 @@
             service.name,
             service.max_connections,
             service.engine.decode() if service.engine is not None else None,
+            service.health_path,
         )
         for service in document.services
     }
--- a/src/filbertyard/platform/wireformat.py
+++ b/src/filbertyard/platform/wireformat.py
@@ -188,6 +188,7 @@
             waiting=load.waiting,
             slots=load.slots,
             slowdown=load.slowdown,
+            has_slowdown=load.has_slowdown,
             rate_limit=parse_server_limit(
                 [
                     value
@@ -252,6 +253,10 @@
         """Return the request for an engine's report."""
         return HttpMessage("GET", "/api/report", {TARGET_INSTANCE: replica})
 
+    def health(self, replica: str, path: str) -> HttpMessage:
+        """Return the request for a replica's health."""
+        return HttpMessage("GET", path, {TARGET_INSTANCE: replica})
+
     def read_report(self, body: bytes, replica: str) -> EngineReport:
         """Decode an engine's report; raise DocumentError."""
         return documents.decode_report(body, replica)
@@ -331,7 +336,7 @@
     counts = [parse_count(part.strip()) for part in text.split(",", 4)[:4]]
     match counts:
         case [int(running), int(waiting), int(slots), int(percent)] if percent > 0:
-            return ReportedLoad(running, waiting, slots, percent / 100)
+            return ReportedLoad(running, waiting, slots, percent / 100, True)
         case [int(running), int(waiting), int(slots), *_]:
             return ReportedLoad(running, waiting, slots)
         case [int(running), int(waiting), *_]:
--- a/tests/fleetsim.py
+++ b/tests/fleetsim.py
@@ -19,9 +19,18 @@
 from filbertyard.gateway.admission import QueuedRequest
 from filbertyard.gateway.admission import max_prefill_backlog_s
 from filbertyard.gateway.placement import Candidate
+from filbertyard.gateway.placement import hash_fraction
 from filbertyard.gateway.types import AdapterName
 from filbertyard.gateway.types import EngineReport
 
+# Other programs on an engine's machine slow it down in spells of this length.
+SPELL_S = 0.6
+SPELL_SHARE = 0.15
+SPELL_SLOWDOWN = 2.5
+
+# Slowdowns that an engine reports before the replay.
+START_REPORTS = 5
+
 Choose = Callable[[str, list[Candidate], str], Candidate | None]
 
 # Engine figures from the data sheet of the enlarged Rakeline site. More loads in the
@@ -111,6 +120,7 @@
     queue: EngineQueue
     plan: AdapterPlan
     slowness: float = 1.0
+    has_spells: bool = False
     runs: list[Run] = field(default_factory=list)
     requests: dict[str, Request] = field(default_factory=dict)
     held: dict[AdapterName, int] = field(default_factory=dict)
@@ -119,12 +129,20 @@
     stepping: bool = False
     ordering: bool = False
 
+    def slowdown(self, now: float) -> float:
+        """Return how many times as long as usual a step takes now."""
+        if not self.has_spells:
+            return self.slowness
+        draw = hash_fraction(str(int(now / SPELL_S)), self.name)
+        return self.slowness * (SPELL_SLOWDOWN if draw < SPELL_SHARE else 1.0)
+
 
 class Replay:
     """One replay; `publish_s` is the interval between two publications of a load.
 
     The values of `slowness` are assigned to the engines in turn; an engine's steps take
-    that many times as long.
+    that many times as long. With `has_spells` other programs slow the engines down now
+    and then; with `reports_slowdown` their responses tell.
     """
 
     def __init__(
@@ -139,19 +157,26 @@
         max_gap_s: float = 0.3,
         publish_s: float = 0.4,
         slowness: tuple[float, ...] = (1.0,),
+        has_spells: bool = False,
+        reports_slowdown: bool = False,
     ) -> None:
         self.choose = choose
         self.publish_s = publish_s
         self.event_tokens = event_tokens
         self.max_gap_s = max_gap_s
+        self.reports_slowdown = reports_slowdown
         self.engines = [
             Engine(
                 f"r{number}",
                 EngineQueue(
-                    slots, kv_tokens, max_prefill_backlog_s(max_gap_s, event_tokens)
+                    slots,
+                    kv_tokens,
+                    max_prefill_backlog_s(max_gap_s, event_tokens),
+                    max_gap_s,
                 ),
                 AdapterPlan(adapter_slots, {}),
                 slowness[number % len(slowness)],
+                has_spells,
             )
             for number in range(engines)
         ]
@@ -174,6 +199,9 @@
         requests = workload.requests(seed)
         rng = random.Random(seed)
         for engine in self.engines:
+            for number in range(START_REPORTS * self.reports_slowdown):
+                slowdown = engine.slowdown(-SPELL_S * (START_REPORTS - number))
+                engine.queue.speed.record_slowdown(slowdown, 0.0)
             self.publish(engine)
             self.schedule(rng.uniform(0, self.publish_s), self.publisher(engine))
         for request in requests:
@@ -218,26 +246,34 @@
             {name: plan.load_left_s(name, now) for name in plan.loading},
         )
 
-    def candidates(self, name: AdapterName) -> list[Candidate]:
+    def candidates(self, name: AdapterName, prompt: int) -> list[Candidate]:
         """Return what a host knows of the engines."""
-        return [
-            Candidate(
-                view.replica,
-                view.wait_s,
-                name in resident,
-                loading.get(name, -1.0),
-                view.load_wait_s,
-                True,
-                0.0,
-                self.now - at,
+        found = []
+        for at, view, resident, loading in self.views.values():
+            queue = self.by_name[view.replica].queue
+            is_reported = queue.speed.is_reported
+            found.append(
+                Candidate(
+                    view.replica,
+                    view.wait_s,
+                    name in resident,
+                    loading.get(name, -1.0),
+                    view.load_wait_s,
+                    True,
+                    0.0,
+                    self.now - at,
+                    prompt * queue.token_cost_s if is_reported else 0.0,
+                    0 < queue.max_prompt_tokens() < prompt and bool(queue.started),
+                )
             )
-            for at, view, resident, loading in self.views.values()
-        ]
+        return found
 
     def arrive(self, request: Request, workload: Workload) -> None:
         """Choose an engine and queue the request at its owner, or reject it."""
         chosen = self.choose(
-            str(request.name), self.candidates(request.name), str(request.number)
+            str(request.name),
+            self.candidates(request.name, request.prompt),
+            str(request.number),
         )
         assert chosen is not None
         engine = self.by_name[chosen.replica]
@@ -339,7 +375,8 @@
                 run.prompt_left -= part
                 chunk_left -= part
         prefill_s = (CHUNK_TOKENS - chunk_left) / PREFILL_TOKENS_PER_S
-        took_s = (STEP_S + STEP_SLOT_S * len(generating) + prefill_s) * engine.slowness
+        usual_s = STEP_S + STEP_SLOT_S * len(generating) + prefill_s
+        took_s = usual_s * engine.slowdown(self.now)
 
         def done() -> None:
             for run in engine.runs:
@@ -347,6 +384,10 @@
                     run.first_event_at = run.last_event_at = self.now
                     run.request.first_event_at = self.now
                     engine.plan.record_start(run.request.name)
+                    if self.reports_slowdown:
+                        engine.queue.speed.record_slowdown(
+                            engine.slowdown(self.now), self.now
+                        )
                     engine.queue.record_first_event(str(run.request.number), self.now)
             for run in generating:
                 run.output_left -= 1
--- a/tests/test_gateway_fleet.py
+++ b/tests/test_gateway_fleet.py
@@ -1,6 +1,7 @@
 """Heartbeats and published loads reach every host of the fleet."""
 
 import time
+from dataclasses import replace
 
 import pytest
 
@@ -297,6 +298,21 @@
     assert clock.now - other.views["r"].at == pytest.approx(0.2)
 
 
+def test_hubs_pass_on_the_speed_of_a_replica(clock: Clock) -> None:
+    simulation = FleetSimulation(2, clock)
+    table, other = simulation.hosts[0].loads, simulation.hosts[1].loads
+    table.state.replicas["r"] = object()
+    table.handle_load(
+        "owner", replace(load(1, 0.1), slowdown=2.04, max_prompt_tokens=900)
+    )
+    rows = table.next_batch()
+    # A replica may be removed between a batch and its speeds.
+    batch = LoadBatch(rows, speeds=table.speed_rows(["r", "gone"]))
+    other.handle_load_batch("hub", batch)
+    known = other.views["r"].load
+    assert (known.slowdown, known.max_prompt_tokens) == (2.04, 900)
+
+
 def test_timeouts_are_longer_than_two_missed_digests() -> None:
     assert fleets.PEER_TIMEOUT_S > 3 * fleets.DIGEST_INTERVAL_S
     assert fleets.HUB_TIMEOUT_S > 2 * fleets.DIGEST_INTERVAL_S
--- a/tests/test_gateway_owner.py
+++ b/tests/test_gateway_owner.py
@@ -6,11 +6,14 @@
 import gevent
 import pytest
 
+from filbertyard.gateway import owner as owner_module
+from filbertyard.gateway.admission import EngineQueue
 from filbertyard.gateway.messages import AdmissionGranted
 from filbertyard.gateway.messages import AdmissionRejected
 from filbertyard.gateway.messages import AdmissionRequest
 from filbertyard.gateway.owner import ReplicaOwner
 from filbertyard.gateway.ratelimits import RateLimitTable
+from filbertyard.gateway.speeds import START_PROBES
 from filbertyard.gateway.types import AdapterName
 from filbertyard.gateway.types import EngineLimits
 from filbertyard.gateway.types import EngineReport
@@ -180,3 +183,86 @@
     owner.record_first_event("1#1")
     assert not owner.queue.overdue(time.monotonic() + 5.0)
     assert owner.queue.overdue(time.monotonic() + 70.0) == ["1#1"]
+
+
+def test_a_published_load_shows_the_requests_that_wait_for_an_adapter(
+    owner: ReplicaOwner,
+) -> None:
+    """Guards against a popular adapter whose requests pile up behind its first load."""
+    busy = AdapterName("m0", "a2")
+    owner.queue.speed.record_slowdown(1.0, time.monotonic())
+    owner.plan.begin_load(busy, time.monotonic())
+    waiting = [
+        gevent.spawn(owner.admit, request(str(number), "a2", prompt_tokens=2000), "h2")
+        for number in range(5)
+    ]
+    waiting.append(gevent.spawn(owner.admit, request("9", "a3"), "h2"))
+    gevent.sleep(0.01)
+    now = time.monotonic()
+    rows = {row[1]: row[2] for row in owner.current_load(now).loading}
+    prefill_s = 5 * 2000 * owner.queue.token_cost_s
+    assert rows["a2"] >= owner.plan.load_left_s(busy, now) + prefill_s
+    # A load that waits for its turn is published too.
+    assert rows["a3"] > 0
+    gevent.killall(waiting)
+
+
+def test_waiting_requests_start_when_the_engine_has_caught_up(
+    owner: ReplicaOwner,
+) -> None:
+    """Guards against an engine that idles until its owner's next event."""
+    owner.queue = EngineQueue(8, 100_000, 0.06, 0.3)
+    owner.queue.speed.record_slowdown(1.0, time.monotonic())
+    assert isinstance(
+        owner.admit(request("1", prompt_tokens=2000), "h2"), AdmissionGranted
+    )
+    second = gevent.spawn(owner.admit, request("2", prompt_tokens=2000), "h2")
+    gevent.sleep(0.05)
+    owner.record_first_event("1", slowdown=1.0)
+    assert not second.ready()
+    assert isinstance(second.get(timeout=5), AdmissionGranted)
+
+
+def test_probes_before_traffic_show_the_speed_of_an_engine(
+    owner: ReplicaOwner, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against first seconds in which all engines count as equally fast."""
+    paths = []
+
+    class Response:
+        status = 200
+        headers = [("Server-Load", "0,0,8,160")]
+
+    def exchange(method: str, path: str, *args: object, **kwargs: object) -> tuple:
+        paths.append(path)
+        return Response(), b""
+
+    monkeypatch.setattr(owner_module, "START_PROBE_INTERVAL_S", 0.001)
+    monkeypatch.setattr(owner.http, "exchange", exchange)
+    owner.run_speed_probes()
+    assert paths == []
+    owner.health_path = "/health"
+    owner.run_speed_probes()
+    assert paths == ["/health"] * START_PROBES
+    assert owner.queue.speed.usual == pytest.approx(1.6)
+
+
+def test_engines_that_report_no_slowdown_are_probed_once(
+    owner: ReplicaOwner, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    class Response:
+        status = 200
+        headers = [("Server-Load", "0,0,8")]
+
+    calls = []
+
+    def exchange(*args: object, **kwargs: object) -> tuple:
+        calls.append(args)
+        return Response(), b""
+
+    monkeypatch.setattr(owner_module, "START_PROBE_INTERVAL_S", 0.001)
+    monkeypatch.setattr(owner.http, "exchange", exchange)
+    owner.health_path = "/health"
+    owner.run_speed_probes()
+    assert len(calls) == 1
+    assert not owner.queue.speed.is_reported
