Retry a held prompt until it starts

What callers saw: nothing measured; found in review. A request that an owner held while its engine was slow was considered again once, and then only at the owner's next event, up to 0.2 s later.

Cause: the retry ran inside its own timer, which therefore still counted as pending.

Change: the timer is cleared before the retry, and an earlier pause replaces a later one. test_a_held_prompt_is_considered_again_until_it_starts failed before.

--- a/src/filbertyard/gateway/owner.py
+++ b/src/filbertyard/gateway/owner.py
@@ -163,6 +163,7 @@
         self.dirty = True
         self.rate_timer: gevent.Greenlet[..., None] | None = None
         self.prefill_timer: gevent.Greenlet[..., None] | None = None
+        self.prefill_timer_at = 0.0
         self.greenlets: list[gevent.Greenlet[..., None]] = []
 
     def start(self) -> None:
@@ -339,9 +340,19 @@
     def await_prefill(self, now: float) -> None:
         """Admit waiting requests again once the engine may prefill the next one."""
         wait_s = self.queue.prefill_pause_s(now)
-        is_pending = self.prefill_timer is not None and not self.prefill_timer.ready()
-        if wait_s > 0 and self.queue.waiting and not is_pending:
-            self.prefill_timer = gevent.spawn_later(wait_s, self.admit_later)
+        if wait_s <= 0 or not self.queue.waiting:
+            return
+        if self.prefill_timer is not None:
+            if self.prefill_timer_at <= now + wait_s:
+                return
+            self.prefill_timer.kill(block=False)
+        self.prefill_timer_at = now + wait_s
+        self.prefill_timer = gevent.spawn_later(wait_s, self.admit_after_pause)
+
+    def admit_after_pause(self) -> None:
+        """Admit requests after a pause in the prefill, or wait for the next one."""
+        self.prefill_timer = None
+        self.admit_later()
 
     def record_rate_limit(self, request_id: str, row: list[Any], now: float) -> None:
         """Record what the response to a request showed of the rate limit."""
--- a/tests/test_gateway_owner.py
+++ b/tests/test_gateway_owner.py
@@ -223,6 +223,20 @@
     assert isinstance(second.get(timeout=5), AdmissionGranted)
 
 
+def test_a_held_prompt_is_considered_again_until_it_starts(owner: ReplicaOwner) -> None:
+    """Guards against a single retry, after which the engine idles."""
+    owner.queue = EngineQueue(8, 100_000, 0.06, 0.3)
+    for slowdown in [1.0] * 20 + [4.0]:
+        owner.queue.speed.record_slowdown(slowdown, time.monotonic())
+    first = owner.admit(request("1", prompt_tokens=10), "h2")
+    assert isinstance(first, AdmissionGranted)
+    owner.record_first_event("1", slowdown=4.0)
+    held = gevent.spawn(owner.admit, request("2", prompt_tokens=3000), "h2")
+    gevent.sleep(0.15)
+    assert not held.ready()
+    assert isinstance(held.get(timeout=5), AdmissionGranted)
+
+
 def test_probes_before_traffic_show_the_speed_of_an_engine(
     owner: ReplicaOwner, monkeypatch: pytest.MonkeyPatch
 ) -> None:
