--- a/src/filbertyard/ctlqueries.py
+++ b/src/filbertyard/ctlqueries.py
@@ -140,6 +140,7 @@
     workspace: str = "",
     request_id: str = "",
     body_bytes: int = 0,
+    prompt_tokens: int = 0,
     json: bool = False,
     address: str = "",
 ) -> int:
@@ -155,6 +156,7 @@
     :param workspace: name of the caller's workspace, which decides the rank
     :param request_id: request id, which decides between holders of an adapter
     :param body_bytes: size of the body, which may be part of the price of a zone
+    :param prompt_tokens: size of the prompt, which slow engines read for longer
     :param json: print JSON instead of a table
     :param address: metrics address IP:PORT of a gateway (default: $FILBERTYARD_HOST)
     """
@@ -165,6 +167,7 @@
         "workspace": workspace,
         "request": request_id,
         "body_bytes": str(body_bytes or ""),
+        "prompt_tokens": str(prompt_tokens or ""),
     }
     # The metrics address needs no key, so none is sent over the network.
     client = create_operator_client(address, NO_KEY)
--- a/src/filbertyard/gateway/previews.py
+++ b/src/filbertyard/gateway/previews.py
@@ -47,6 +47,7 @@
     workspace: str = ""
     request: str = "preview"
     body_bytes: int = Field(0, ge=0, le=DEFAULT_MAX_BODY_BYTES)
+    prompt_tokens: int = Field(0, ge=0)
 
 
 class PreviewApplication:
@@ -142,6 +143,7 @@
         arrived=now,
         deadline=now + route.timeout_s,
         adapter=AdapterName(model, adapter) if model else None,
+        prompt_tokens=query.prompt_tokens,
     )
     return Delivery(
         request,
@@ -170,7 +172,9 @@
 ) -> tuple[str, list[Row]]:
     """Return the engine for a request, and all candidates, the best first."""
     name = delivery.request.adapter or AdapterName("", "")
-    found = entry.owners.candidates(delivery.service, name)
+    found = entry.owners.candidates(
+        delivery.service, name, delivery.request.prompt_tokens
+    )
     crossing = entry.crossing(delivery, found)
     chosen = choose_replica(str(name), found, delivery.request.id, crossing)
     rows = []
