--- a/src/filbertyard/gateway/quotas.py
+++ b/src/filbertyard/gateway/quotas.py
@@ -1,8 +1,8 @@
 """Decide which requests the quotas of workspaces allow, without input or output.
 
 It covers a workspace whose callers ask all hosts for more than its quota, while hosts
-start, end, stand still or lose each other. The hosts that count together stay within
-the rate times the time, the burst and one request.
+start, end, stand still or lose each other. A counting host stays within the rate times
+the time, the burst and one request; `docs/design/quotas.md` adds up several.
 """
 
 from __future__ import annotations
@@ -209,7 +209,10 @@
         if fraction > self.fraction:
             # The majority of the hosts has counted without this one.
             self.empty(now)
-        self.fraction = fraction
+        if fraction != self.fraction:
+            self.fraction = fraction
+            for bucket in self.buckets.values():
+                bucket.set_limit(bucket.limit, fraction, now)
         for name, bucket in list(self.buckets.items()):
             first = is_first(name)
             if first and bucket.stands_in:
--- a/tests/test_gateway_quotas.py
+++ b/tests/test_gateway_quotas.py
@@ -230,6 +230,17 @@
     assert decide(counter, now).wait_s > 0
 
 
+def test_a_host_that_is_cut_off_fills_its_buckets_at_the_lower_rate() -> None:
+    """Guards against the whole rate for the time between a cut and the next request."""
+    counter = create_counter()
+    while decide(counter, 0.0).is_allowed:
+        pass
+    now = advance(counter, 0.0, 0.5)
+    counter.update(frozenset({"a"}), minority_fraction(1, 63), lambda _: True, now)
+    now = advance(counter, now, 5.0)
+    assert not decide(counter, now).is_allowed
+
+
 def test_a_new_counting_host_begins_with_half_the_rate() -> None:
     counter = create_counter()
     now = advance(counter, 0.0, 5.0)
