--- a/src/filbertyard/gateway/quotahosts.py
+++ b/src/filbertyard/gateway/quotahosts.py
@@ -144,7 +144,7 @@
         """Return the decision on a request and the host that took it, if any did."""
         objective_at = delivery.request.arrived + delivery.route.objective_s
         objective_s = objective_at - time.monotonic()
-        asked = QuotaAmount(amount, objective_s, delivery.left_s())
+        asked = QuotaAmount(amount, delivery.route.rank, objective_s, delivery.left_s())
         pending = PendingAmount(asked)
         waiting = self.pending.get(name)
         if waiting is None:
@@ -230,7 +230,9 @@
         self, name: str, limit: QuotaLimit, amounts: list[QuotaAmount]
     ) -> tuple[str, list[QuotaDecision] | None]:
         """Return the decisions on requests and the host that took them."""
-        rows = [[item.amount, item.objective_s, item.left_s] for item in amounts]
+        rows = [
+            [item.amount, item.rank, item.objective_s, item.left_s] for item in amounts
+        ]
         message = QuotaRequest(name, limit.version, limit.per_s, limit.burst, rows)
         for host in self.hosts_to_ask(name):
             if host == self.fleet.id:
--- a/src/filbertyard/gateway/quotas.py
+++ b/src/filbertyard/gateway/quotas.py
@@ -19,10 +19,15 @@
 # A request may wait this fraction of the time until its objective passes.
 MAX_WAIT_FRACTION = 0.25
 
-# The longest wait while the workspace is over its quota, the same for all kinds of
-# request: otherwise those that may wait longer would keep the bucket in a debt in which
-# the others are refused. A quarter of the shortest latency objectives, 100 ms.
-LIMITED_WAIT_S = 0.025
+# The longest waits while the workspace is over its quota, by the rank of the route; the
+# last one holds for all lower ranks. Those that may wait longer go first, as they keep
+# the bucket in a debt in which the others are refused. A quarter of the shortest
+# latency objectives, 100 ms, and multiples of it.
+LIMITED_WAITS_S = (0.075, 0.05, 0.025)
+
+# One request in this many goes as it comes, whatever its rank: a flood of urgent ones
+# does not take the whole quota from the other kinds.
+GRANTS_PER_FIFO_GRANT = 2
 
 # A host that has become the counting host allows half of the rate for this long: hosts
 # that have not noticed yet still ask its predecessor. Two heartbeats and their delays.
@@ -67,6 +72,7 @@
     """What one request asks for; times are in seconds from now."""
 
     amount: float
+    rank: int
     objective_s: float
     left_s: float
 
@@ -102,6 +108,7 @@
         self.is_strict = False
         self.bucket = TokenBucket(0.0, since, limit.burst)
         self.used_at = since
+        self.allowed = 0
         self.refused = 0
         self.refused_at = since
         # Refused amounts whose callers were told to return, less what the rate has
@@ -150,6 +157,7 @@
         wait_s = self.bucket.wait_s(now, asked.amount if self.is_strict else 0.0)
         if wait_s <= self.max_wait_s(asked, now):
             self.bucket.charge(asked.amount, now)
+            self.allowed += 1
             return QuotaDecision(is_allowed=True, wait_s=wait_s)
         return self.refuse(asked, wait_s, now)
 
@@ -158,7 +166,9 @@
         wait_s = max(0.0, asked.objective_s * MAX_WAIT_FRACTION)
         if not self.is_limited:
             return wait_s
-        return min(wait_s, LIMITED_WAIT_S)
+        is_fifo = self.allowed % GRANTS_PER_FIFO_GRANT == 0
+        rank = 0 if is_fifo else min(max(0, asked.rank), len(LIMITED_WAITS_S) - 1)
+        return min(wait_s, LIMITED_WAITS_S[rank])
 
     def refuse(self, asked: QuotaAmount, wait_s: float, now: float) -> QuotaDecision:
         """Refuse a request; its time is after all others that may come back."""
