Reject a response that was given up after its last part

A body is dropped at once when its memory is given up. If that happened between its last part and its end, while the reader waited for its turn, the empty rest was taken as the whole body; on the interface for OpenAI-style callers it was sent with the length of the whole.

tests/test_memory.py -k empty fails before.

--- a/src/filbertyard/callers.py
+++ b/src/filbertyard/callers.py
@@ -414,6 +414,9 @@
                     ended = True
                 else:
                     return self.send_failure(start_response, reply, call)
+            if reservation.is_given_up:
+                problem = response_too_large(call.request_id)
+                return send_problem(start_response, problem)
         if not ended:
             return send_problem(start_response, incomplete_response(call.request_id))
         if is_framed:
--- a/src/filbertyard/httpcalls.py
+++ b/src/filbertyard/httpcalls.py
@@ -186,23 +186,25 @@
             return True
 
         with RESPONSE_BODIES.reserve(give_up) as reservation:
-            for part in self.parts():
-                body += part
-                try:
+            try:
+                for part in self.parts():
+                    body += part
                     if len(body) > MAX_BODY_BYTES:
                         raise BufferLimitError(
                             f"body exceeds {MAX_BODY_BYTES} bytes", step="", peer=""
                         )
                     reservation.resize(len(body))
-                except BufferLimitError as error:
-                    self.close()
-                    raise UpstreamError(
-                        error.message,
-                        step="read response",
-                        peer=self.peer,
-                        sent=True,
-                        code="body_too_large",
-                    ) from error
+                # It may have been given up since its last part, and is empty then.
+                reservation.resize(len(body))
+            except BufferLimitError as error:
+                self.close()
+                raise UpstreamError(
+                    error.message,
+                    step="read response",
+                    peer=self.peer,
+                    sent=True,
+                    code="body_too_large",
+                ) from error
             reservation.keep()
             yield body
 
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -4,12 +4,16 @@
 
 from collections.abc import Iterator
 from pathlib import Path
+from types import SimpleNamespace
 
 import gevent
 import pytest
 
 from filbertyard.exceptions import BufferLimitError
+from filbertyard.exceptions import UpstreamError
+from filbertyard.httpcalls import HttpResponse
 from filbertyard.platform.standins import SIGNED_HEAD
+from filbertyard.readlimits import RESPONSE_BODIES
 from filbertyard.readlimits import BufferPool
 from filbertyard.readlimits import MemoryBudget
 from gatewayfleet import wait_until
@@ -148,3 +152,20 @@
     assert not given_up
     pool.reserve(lambda: given_up.append("small")).resize(10)
     assert given_up == ["large"]
+
+
+def test_a_response_given_up_before_its_end_is_not_delivered_empty(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a body that is dropped after its last part and taken as whole."""
+
+    def parts(response: HttpResponse) -> Iterator[bytes]:
+        yield b"ok"
+        # Another body needs the memory while the reader waits for its turn.
+        (reservation,) = RESPONSE_BODIES.receiving
+        reservation.give_up()
+
+    monkeypatch.setattr(HttpResponse, "parts", parts)
+    raw = SimpleNamespace(_sock=None, message_complete=True)
+    with pytest.raises(UpstreamError):
+        HttpResponse(200, [], raw).read()
