Read heads and bodies of callers to their very end

What callers saw: a head cut off one or two bytes into a line was served without its last line; with two Transfer-Encoding headers the body was served as the next request; an interim response followed a final one; a body in small chunks timed out; some 36 connections whose bodies did not come made a host refuse every request; a response without framing that was given up could look whole.

Cause: the check for the end of a head took a tail of three bytes for it, equal encodings passed, memory of a head was kept before its body had come, and a shutdown is the end of an unframed response.

--- a/src/filbertyard/callerserver.py
+++ b/src/filbertyard/callerserver.py
@@ -84,10 +84,6 @@
 
 # Bytes of a body that are read before other greenlets may run.
 READ_BLOCK_BYTES = 64 * 1024
-CHUNKED_READ_BYTES = 512
-
-# Bytes of a chunk around its data, with a size of four digits.
-CHUNK_FRAMING_BYTES = 8
 
 # With the default of 100, a flood of connections delays the running calls.
 MAX_ACCEPTS_PER_LOOP = 8
@@ -140,6 +136,11 @@
         name, value = match[1].lower(), match[2].strip()
         if name in SINGLE_HEADERS and self.fields.get(name, value) != value:
             raise ValueError(f"two different {name} headers")
+        if name == "transfer-encoding" and name in self.fields:
+            # gevent joins both to an encoding that it does not know, and reads no body.
+            raise ValueError("two transfer-encoding headers")
+        if name == "content-length" and not (value.isascii() and value.isdigit()):
+            raise ValueError("malformed content-length")
         self.fields.setdefault(name, value)
         self.headers.append(line)
 
@@ -274,7 +275,11 @@
         """Read the head within the limits on its size and time."""
         with gevent.Timeout(self.limits.head_timeout_s, TimeoutError("head")):
             read: Any = super().read_request(raw_requestline)
-        if self.head_reservation is not None:
+        headers: Any = self.headers
+        is_body_expected = read and (
+            headers.get("transfer-encoding") is not None or self.content_length
+        )
+        if self.head_reservation is not None and not is_body_expected:
             self.head_reservation.keep()
         self.caller_server.record_busy(self)
         return read
@@ -287,7 +292,7 @@
             raise HeadTooLargeError
         size = len(self.requestline or "") + len(data)
         self.count_head(size + HEADER_LINE_BYTES * data.count(b"\n"))
-        if END_OF_HEAD.search(b"\n" + data[-3:]) is None:
+        if not (b"\n" + data).endswith((b"\n\n", b"\n\r\n")):
             raise ValueError("incomplete head")
         return RequestHead(data)
 
@@ -305,6 +310,10 @@
             if self.head_reservation is not None:
                 self.head_reservation.release()
                 self.head_reservation = None
+            # An idle connection keeps nothing of its last request.
+            own: Any = self
+            own.headers = own.environ = own.wsgi_input = None
+            own.requestline = own.path = ""
         self.request_count += 1
         if isinstance(result, tuple) and result[0] == "414":
             result = head_problem(414, "request_line_too_long", "request line too long")
@@ -368,16 +377,26 @@
                     part = body_input.read(self.await_body())
             except OSError:
                 # The transfer may have been ended to free its memory.
-                reservation.resize(len(body))
+                self.check_memory(len(body))
                 raise
             if not part:
                 break
             body += part
-            reservation.resize(len(body))
+            self.check_memory(len(body))
+        self.check_memory(len(body))
         reservation.keep()
+        if self.head_reservation is not None:
+            self.head_reservation.keep()
         self.caller_server.record_busy(self)
         return bytes(body)
 
+    def check_memory(self, body_bytes: int) -> None:
+        """Count the body; raise BufferLimitError if it or its head was given up."""
+        if self.body_reservation is not None:
+            self.body_reservation.resize(body_bytes)
+        if self.head_reservation is not None:
+            self.head_reservation.resize(self.head_reservation.size)
+
     @property
     def is_body_complete(self) -> bool:
         """Tell if the request's body has been read to its end."""
@@ -392,8 +411,9 @@
         available = len(self.rfile.peek(1))
         if not body_input.chunked_input:
             return max(1, available)
-        # gevent reads a chunked body in as many steps as it has chunks.
-        return max(1, min(CHUNKED_READ_BYTES, available - CHUNK_FRAMING_BYTES))
+        # Only what is left of the present chunk is there for certain.
+        left = int(body_input.chunk_length - body_input.position)
+        return min(available, left) if available and left > 0 else 1
 
     def end_input(self) -> None:
         """Have the greenlet that reads the request find it at an end."""
@@ -403,7 +423,12 @@
 
     def end_output(self) -> None:
         """Have the greenlet that sends the response find the connection at an end."""
-        shut_down(self)
+        if not self.headers_sent or self.is_framed:
+            shut_down(self)
+        elif self.greenlet is not gevent.getcurrent():
+            # A shutdown is the proper end of such a response; closing it resets.
+            error = CallerDisconnectedError(errno.EPIPE, "the caller does not read")
+            self.greenlet.kill(error, block=False)
         self.caller_server.record_ended("unread_response")
 
     def handle_one_response(self) -> None:
@@ -463,6 +488,12 @@
             return bool(body.chunk_length != 0)
         return bool((body.content_length or 0) - body.position > READ_BLOCK_BYTES)
 
+    @property
+    def is_continue_due(self) -> bool:
+        """Tell if the caller still waits for the interim response before its body."""
+        body: Any = self.wsgi_input
+        return not self.is_body_complete and body.socket is not None
+
     def run_application(self) -> None:
         """Run the application and send its result."""
         try:
@@ -474,7 +505,7 @@
 
     def process_result(self) -> None:
         """Send the result; only a whole response without framing ends in order."""
-        if self.has_unread_body:
+        if self.has_unread_body or self.is_continue_due:
             # gevent would read the rest before the next request, also one without end.
             self.close_after_response()
         super().process_result()
