End a stream between hosts with an error where its parts were given up

What was left looked like all parts: the reader took them for the whole answer. The test failed before (DID NOT RAISE PeerError).

--- a/src/filbertyard/peers.py
+++ b/src/filbertyard/peers.py
@@ -137,6 +137,8 @@
     def __init__(self) -> None:
         self.queue: Queue[tuple[int, Message | None, int]] = Queue()
         self.reservation = QUEUED_REPLIES.reserve(self.give_up)
+        # The end that the reader finds is not the sender's.
+        self.is_cut_off = False
 
     def qsize(self) -> int:
         """Return the number of replies."""
@@ -162,6 +164,7 @@
         """Drop the replies, which frees their memory; the reader finds the end."""
         while not self.queue.empty():
             self.queue.get_nowait()
+        self.is_cut_off = True
         self.queue.put((DONE, None, 0))
         return True
 
@@ -598,6 +601,7 @@
                 is_given_up = queue.reservation.is_given_up
                 if is_given_up or queue.qsize() > MAX_QUEUED_ITEMS:
                     connection.pending.pop(call_id, None)
+                    queue.is_cut_off = True
                     queue.put((DONE, None))
                     connection.send(CANCEL, call_id, None)
         except (FrameError, OSError) as error:
@@ -693,7 +697,7 @@
                 kind, item = queue.get(timeout=max(0.0, deadline - time.monotonic()))
                 if kind == DONE:
                     finished = True
-                    if connection.closed:
+                    if connection.closed or queue.is_cut_off:
                         raise PeerError(STREAM_BROKE, step=step, peer=host, sent=True)
                     return
                 if isinstance(item, Problem):
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -15,12 +15,14 @@
 from result import Ok
 
 from filbertyard import peers as peers_module
+from filbertyard.exceptions import PeerError
 from filbertyard.messages import Message
 from filbertyard.messages import message
 from filbertyard.peers import REQUEST
 from filbertyard.peers import Connection
 from filbertyard.peers import PeerNetwork
 from filbertyard.readlimits import QUEUED_REPLIES
+from filbertyard.readlimits import BufferPool
 
 KEY = "peer-test-shared-key"
 
@@ -238,3 +240,16 @@
     for stream in slow:
         stream.close()  # type: ignore[attr-defined]
     assert QUEUED_REPLIES.used_bytes == 0
+
+
+def test_a_stream_whose_parts_were_given_up_does_not_end_in_order(
+    pair: Pair, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Regression: what was left looked like all parts of the stream."""
+    monkeypatch.setattr(peers_module, "QUEUED_REPLIES", BufferPool(2_000_000))
+    part = "x" * 500_000
+    pair.b.handle(Echo, lambda host, echo: iter([Echo(part)] * 40))
+    with pytest.raises(PeerError):
+        for _ in pair.a.stream("b", Echo("large"), 30.0):
+            # A caller that reads slowly.
+            gevent.sleep(0.1)
