Await each turn of a rate limit, and no late report as prefill

What callers saw: of several requests that wait for an engine's rate limit only the first was started in its turn; the report of a first event that came seconds late stopped an idle engine for as long.

Cause: the timer counted as pending inside its own callback; the pause for running streams grew with the age of the report. Both tests failed before.

--- a/src/filbertyard/gateway/admission.py
+++ b/src/filbertyard/gateway/admission.py
@@ -423,7 +423,9 @@
             elapsed_s = now - item.started_at
             if self.speed.is_reported:
                 # Running streams need their share of the time that prefill really took.
-                pause_s = elapsed_s * (1.0 / self.prefill_duty - 1.0)
+                # A late report of an event is no longer prefill.
+                read_s = min(elapsed_s, MAX_PREFILL_S)
+                pause_s = read_s * (1.0 / self.prefill_duty - 1.0)
                 self.prefill_until = max(self.prefill_until, now + pause_s)
             self.prefill_cost.observe(tokens, elapsed_s / self.speed.slowdown)
 
--- a/src/filbertyard/gateway/owner.py
+++ b/src/filbertyard/gateway/owner.py
@@ -359,9 +359,13 @@
     def await_rate(self, now: float) -> None:
         """Admit waiting requests again once the rate limit allows the next one."""
         wait_s = self.queue.rate_wait_s(now)
-        is_pending = self.rate_timer is not None and not self.rate_timer.ready()
-        if wait_s > 0 and self.queue.waiting and not is_pending:
-            self.rate_timer = gevent.spawn_later(wait_s, self.admit_later)
+        if wait_s > 0 and self.queue.waiting and self.rate_timer is None:
+            self.rate_timer = gevent.spawn_later(wait_s, self.admit_after_turn)
+
+    def admit_after_turn(self) -> None:
+        """Admit requests at their turn of the rate limit, or wait for the next one."""
+        self.rate_timer = None
+        self.admit_later()
 
     def await_prefill(self, now: float) -> None:
         """Admit waiting requests again once the engine may prefill the next one."""
--- a/tests/test_gateway_owner.py
+++ b/tests/test_gateway_owner.py
@@ -320,3 +320,16 @@
     owner.run_speed_probes()
     assert len(calls) == 1
     assert not owner.queue.speed.is_reported
+
+
+def test_requests_over_a_rate_limit_start_one_after_the_other(
+    owner: ReplicaOwner, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Regression: only the first one was awaited; the others waited for an event."""
+    monkeypatch.setattr(owner.rate_limits, "rate", lambda replica, started_ms: 10.0)
+    owner.queue.slots = 20
+    waiting = [
+        gevent.spawn(owner.admit, request(str(number)), "h2") for number in range(4)
+    ]
+    gevent.joinall(waiting, timeout=4.0)
+    assert all(isinstance(item.value, AdmissionGranted) for item in waiting)
--- a/tests/test_gateway_speeds.py
+++ b/tests/test_gateway_speeds.py
@@ -154,3 +154,14 @@
         return share
 
     assert play(True) > play(False) + 0.03
+
+
+def test_a_late_first_event_stops_an_engine_for_a_short_time_only() -> None:
+    """Guards against a late report that makes an idle engine refuse requests."""
+    queue = engine_queue(1.0, 1.0)
+    enqueue(queue, 100)
+    name = start(queue, 0.0)
+    assert name is not None
+    queue.prefill_duty = 0.5
+    queue.record_first_event(name, 6.0)
+    assert queue.prefill_until - 6.0 <= MAX_PREFILL_S
