Withdraw a request only while it still waits

What callers saw: a host that stops could answer 503 (not run) for a request that it had just sent, as the withdrawal was thrown a loop turn later.

Change: the withdrawal is thrown only if the greenlet is in the same wait.

--- a/src/filbertyard/gateway/entry.py
+++ b/src/filbertyard/gateway/entry.py
@@ -639,7 +639,17 @@
         """End the wait of requests for admission."""
         for greenlet in greenlets:
             error = AdmissionWithdrawnError(cause, step="await admission", peer="")
-            gevent.kill(greenlet, error)
+            gevent.get_hub().loop.run_callback(
+                self.end_wait, greenlet, self.awaiting_admission.get(greenlet), error
+            )
+
+    def end_wait(
+        self, greenlet: Any, delivery: Delivery | None, error: AdmissionWithdrawnError
+    ) -> None:
+        """End a wait unless it has ended since: the request may have been sent."""
+        is_same = self.awaiting_admission.get(greenlet) is delivery
+        if is_same and (delivery is not None or greenlet in self.awaiting_body):
+            greenlet.throw(error)
 
     def send_admitted(
         self, delivery: Delivery, replica: Replica, version: int
--- a/tests/test_gateway_grace.py
+++ b/tests/test_gateway_grace.py
@@ -9,8 +9,10 @@
 
 import gevent
 import pytest
+from gevent.event import Event
 from geventhttpclient.response import HTTPConnectionClosed
 
+from filbertyard.exceptions import AdmissionWithdrawnError
 from filbertyard.gateway.host import GatewayHost
 from filbertyard.platform.standins import ReplicaStandin
 from gatewayfleet import BOUNDS
@@ -280,3 +282,28 @@
     assert reply is not None
     assert reply.status == 503
     check_reply(fleet, caller, reply)
+
+
+def test_a_wait_that_has_ended_is_not_withdrawn(fleet: GatewayFleet) -> None:
+    """Regression: a request that had just been sent was rejected as not run."""
+    entry = fleet.hosts[0].entry
+    turn = Event()
+    outcomes: list[str] = []
+
+    def serve() -> None:
+        delivery: Any = object()
+        with entry.awaiting(delivery):
+            turn.wait()
+        try:
+            # Stands for the send and the wait for the response.
+            gevent.sleep(0.05)
+            outcomes.append("answered")
+        except AdmissionWithdrawnError:
+            outcomes.append("rejected")
+
+    tasks = [gevent.spawn(serve) for _ in range(20)]
+    gevent.sleep(0)
+    turn.set()
+    entry.withdraw("host_stopping", [*entry.awaiting_admission])
+    gevent.joinall(tasks, timeout=20.0)
+    assert outcomes == ["answered"] * 20
