Bound the waits for quotas and confirmations, and the age of returned grants

A question about a quota waited for its stream without a limit, a host that hung longest was not recorded as silent, and a confirmation could wait seconds for a fetch.

--- a/src/filbertyard/gateway/confirmer.py
+++ b/src/filbertyard/gateway/confirmer.py
@@ -189,8 +189,13 @@
         reply = result.ok_value if isinstance(result, Ok) else None
         if not isinstance(reply, ConfigurationAge) or reply.age_s is None:
             return False
-        if self.known_revision() < reply.revision:
-            self.sync.fetch(host, self.state.operator_feed)
+        feed = self.state.operator_feed
+        if self.known_revision() < reply.revision and (
+            feed.prefix not in self.sync.fetching
+        ):
+            # A fetch may take seconds; what comes later is applied all the same.
+            self.sync.fetching.add(feed.prefix)
+            gevent.spawn(self.sync.fetch, host, feed).join(PEER_TIMEOUT_S)
         if self.known_revision() < reply.revision:
             return False
         self.confirmed_at = max(self.confirmed_at, asked_at - reply.age_s)
--- a/src/filbertyard/gateway/quotahosts.py
+++ b/src/filbertyard/gateway/quotahosts.py
@@ -63,6 +63,15 @@
 # paused, and the requests count for another time.
 MAX_REPLY_AGE_S = 1.0
 
+# Older grants are not returned: the amount would allow requests in another window than
+# the one that it was taken from. The slack of the quotas is larger than the rate's
+# tenth for a time of this length.
+MAX_RETURN_AGE_S = 1.0
+
+# A request waits at least this long for the answer, also near its objective. The hosts
+# that are asked one after the other answer within it.
+MIN_ASK_S = 0.5
+
 # Interval between two looks at the hosts of the fleet; a fraction of `PAUSE_S`.
 UPDATE_INTERVAL_S = 0.1
 
@@ -127,7 +136,7 @@
                 "filbertyard_quota_refusals_total", workspace=workspace.name
             )
             return Rejection(OVER_QUOTA, decision.retry_after_s)
-        delivery.quota_grant = QuotaGrant(workspace.name, amount, host)
+        delivery.quota_grant = QuotaGrant(workspace.name, amount, host, boot_clock())
         delivery.waited_s += decision.wait_s
         self.metrics.observe(
             "filbertyard_quota_wait_seconds",
@@ -152,18 +161,21 @@
             gevent.spawn(self.run_asks, name, limit)
         else:
             waiting.append(pending)
+        # The message waits for others on its stream, whatever the time of a request.
+        limit_s = min(max(objective_s, MIN_ASK_S), delivery.left_s())
+        is_decided = False
         try:
-            pending.decided.wait()
-        except BaseException:
-            pending.is_withdrawn = True
-            self.return_unused(name, pending)
-            raise
-        return pending.host, pending.decision
+            is_decided = pending.decided.wait(max(0.0, limit_s))
+        finally:
+            if not is_decided:
+                pending.is_withdrawn = True
+                self.return_unused(name, pending)
+        return (pending.host, pending.decision) if is_decided else ("", None)
 
     def give_back(self, delivery: Delivery) -> None:
         """Return what a request took that did not run; without effect if repeated."""
         grant, delivery.quota_grant = delivery.quota_grant, None
-        if grant is not None:
+        if grant is not None and boot_clock() - grant.at <= MAX_RETURN_AGE_S:
             self.send_return(grant.host, grant.workspace, grant.amount)
 
     def run_asks(self, name: str, limit: QuotaLimit) -> None:
@@ -251,8 +263,6 @@
         """Send a request for a quota; None without a valid reply."""
         asked_at = boot_clock()
         result = self.peers.call(host, message, timeout_s)
-        if boot_clock() - asked_at > MAX_REPLY_AGE_S:
-            return None
         if isinstance(result, Err):
             now = time.monotonic()
             if self.silent_until.get(host, 0.0) < now:
@@ -266,6 +276,8 @@
                 )
             self.silent_until[host] = now + SILENT_S
             return None
+        if boot_clock() - asked_at > MAX_REPLY_AGE_S:
+            return None
         reply = result.ok_value
         return reply if isinstance(reply, QuotaReply) else None
 
--- a/src/filbertyard/gateway/quotas.py
+++ b/src/filbertyard/gateway/quotas.py
@@ -88,11 +88,15 @@
 
 @dataclass(frozen=True, slots=True)
 class QuotaGrant:
-    """What a request has used of the quota of a workspace, and who counted it."""
+    """What a request has used of the quota of a workspace, and who counted it.
+
+    `at` is when, on the boot clock.
+    """
 
     workspace: str
     amount: float
     host: str
+    at: float
 
 
 class QuotaBucket:
--- a/src/filbertyard/gateway/state.py
+++ b/src/filbertyard/gateway/state.py
@@ -129,8 +129,7 @@
     def is_configuration_current(self, now: float) -> bool:
         """Tell if the newest configuration that may be in force is known here.
 
-        A host that may be behind must not tell a caller that a route or an API key does
-        not exist.
+        A host that may be behind must not tell a caller that a route does not exist.
         """
         return self.confirmation.is_current(self.operator_feed.revision, now)
 
