Send names of workspaces and compare keys beyond Latin-1

A workspace with such a name made replicas count as unreachable for everybody. The test failed before (KeyError: the key never matched). Answers of the store in an unexpected form are logged without their content, which may hold keys.

--- a/src/filbertyard/platform/store.py
+++ b/src/filbertyard/platform/store.py
@@ -112,7 +112,7 @@
                 f"status {status}", step=f"key-value {name}", peer=self.address
             )
         if status not in (200, 404, 410, 412) or not isinstance(data, dict | None):
-            raise self.unavailable(f"status {status}: {str(data)[:120]}", name)
+            raise self.unavailable(f"status {status}: {type(data).__name__}", name)
         return Reply(status, data or {}, self.generation)
 
     def unavailable(self, message: str, name: str) -> KeyValueUnavailableError:
--- a/src/filbertyard/platform/wireformat.py
+++ b/src/filbertyard/platform/wireformat.py
@@ -160,7 +160,8 @@
         if workspace is not None:
             headers = without_credentials(headers)
             if workspace:
-                headers[TENANT] = workspace
+                # Headers are encoded as Latin-1.
+                headers[TENANT] = workspace.encode().decode("latin-1")
         headers[DEADLINE] = str(max(1, int(left_s * 1000)))
         headers[TARGET_INSTANCE] = replica
         if request.adapter is not None:
@@ -289,7 +290,8 @@
     scheme, _, api_key = text.partition(" ")
     if scheme.lower() != "bearer" or not api_key.strip():
         return b""
-    return key_digest(api_key.strip())
+    # Headers are decoded as Latin-1, whatever the bytes stand for.
+    return key_digest(api_key.strip().encode("latin-1").decode(errors="replace"))
 
 
 def parse_connection_header(connection: str | None) -> frozenset[str]:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -383,3 +383,17 @@
     head = WIRE_FORMAT.read_response_head(200, [("Server-Load", "3,1,8")])
     assert (head.slots, head.slowdown) == (8, 1.0)
     assert WIRE_FORMAT.read_response_head(200, []).running == -1
+
+
+def test_names_and_keys_may_hold_any_text() -> None:
+    """Regression: a name that Latin-1 cannot hold made replicas count as unreachable."""
+    content = workspace_configuration(
+        tenants=[{"name": "株式会社", "apiKeys": ["clé"]}]
+    )
+    found = WIRE_FORMAT.read_configuration(content)
+    # As a server decodes the bytes of a header.
+    key = "clé".encode().decode("latin-1")
+    caller = request(Authorization=f"Bearer {key}")
+    workspace = found.workspaces[caller.key_digest]
+    sent = WIRE_FORMAT.request_headers(caller, "i", 1.0, 0, 0, "", workspace.name)
+    assert sent["Tenant"].encode("latin-1").decode() == "株式会社"
