Publish loads to a host that joins at once

An idle owner publishes its loads once in a second, and a new host rejects a request for an absent adapter when it has waited for them for a second. In a large fleet the recipients are the hubs, which still pass loads on to a new host with their next publication.

--- a/src/filbertyard/gateway/host.py
+++ b/src/filbertyard/gateway/host.py
@@ -314,8 +314,16 @@
 
     def run_owners(self) -> None:
         """Start and stop the owners of this host's claims, forever."""
+        informed: set[str] = set()
         while True:
             gevent.sleep(OWNER_CHECK_INTERVAL_S)
+            targets = self.fleet.broadcast_targets()
+            if not targets <= informed:
+                # An idle owner publishes so seldom that a new host would give up the
+                # wait for its load.
+                for idle in self.owned.values():
+                    idle.dirty = True
+            informed = targets
             # New connections get the limits of the configuration in force.
             self.servers[0].limits = self.caller_limits()
             for server in self.servers[1:]:
--- a/tests/test_gateway_path.py
+++ b/tests/test_gateway_path.py
@@ -1,5 +1,6 @@
 """Requests through whole gateway hosts, against stand-ins of the platform."""
 
+import math
 from collections.abc import Iterator
 from dataclasses import replace
 
@@ -509,6 +510,17 @@
     assert serving.text("a7", host=host).status == 200
 
 
+def test_idle_owners_publish_to_a_host_that_joins(
+    serving: GatewayFleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Regression: a new host waited for the next load of an idle owner for too long."""
+    monkeypatch.setattr("filbertyard.gateway.owner.MAX_PUBLISH_INTERVAL_S", math.inf)
+    owners = [owner for host in serving.hosts for owner in host.owned.values()]
+    wait_until(lambda: not any(owner.dirty for owner in owners))
+    host = serving.start_host()
+    wait_until(lambda: set(host.loads.views) == {"e1", "e2"})
+
+
 def test_a_host_without_a_store_rejects_requests_soon(serving: GatewayFleet) -> None:
     serving.store.faults.unavailable = True
     host = serving.start_host()
