--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -136,7 +136,12 @@
     fleet.store.write("op/config", configuration(version))
     for host in fleet.hosts:
         wait_until(lambda host=host: host.state.is_usable(name))
-        wait_until(lambda host=host: host.state.configuration.version == version)
+        # A host that has just started may know replicas before the configuration.
+        wait_until(
+            lambda host=host: (
+                host.state.configuration and host.state.configuration.version == version
+            )
+        )
         assert all(not task.dead for task in host.tasks)
 
 
