--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -249,7 +249,10 @@
     monkeypatch.setattr(peers_module, "QUEUED_REPLIES", BufferPool(2_000_000))
     part = "x" * 500_000
     pair.b.handle(Echo, lambda host, echo: iter([Echo(part)] * 40))
-    with pytest.raises(PeerError):
+
+    def read_slowly() -> None:
         for _ in pair.a.stream("b", Echo("large"), 30.0):
-            # A caller that reads slowly.
             gevent.sleep(0.1)
+
+    with pytest.raises(PeerError):
+        read_slowly()
