--- a/tests/test_gateway_workspaces.py
+++ b/tests/test_gateway_workspaces.py
@@ -174,10 +174,13 @@
     peers: Any = FakePeers(reply)
     fetched = config_item(2)
 
+    fetching: set[str] = set()
+
     def fetch(peer: str, feed: Any) -> bool:
+        fetching.discard(feed.prefix)
         return state.apply_item(feed, fetched, 0.0, peer)
 
-    sync: Any = SimpleNamespace(fetch=fetch)
+    sync: Any = SimpleNamespace(fetch=fetch, fetching=fetching)
     return ConfigurationConfirmer(
         state,
         store,
