--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Builds what the scripts of cases 6 to 10 start. All of it is Python: the project's own
-# stand-ins come with the build of the deploy file, the drivers are only compiled.
+# stand-ins come with the build of the deploy file, and the driver is only parsed.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 test -d target/deps/filbertyard || {
@@ -8,4 +8,4 @@
   exit 2
 }
 PYTHONPATH=target/deps python3 -c "import filbertyard.platform.standins"
-python3 -m py_compile review/driver_2.py
+python3 -B -c "import ast, pathlib; ast.parse(pathlib.Path('review/driver_2.py').read_text())"
--- a/review/driver_2.py
+++ b/review/driver_2.py
@@ -25,8 +25,6 @@
 
 import gevent
 import gevent.socket
-from gevent.event import Event
-from gevent.server import StreamServer
 from geventhttpclient.response import HTTPParseError
 from geventhttpclient.response import HTTPSocketResponse
 
@@ -37,6 +35,9 @@
 BROKEN = 1
 COULD_NOT_RUN = 2
 
+# A case that takes longer is given up; it may take 120 s.
+MAX_CASE_S = 110.0
+
 # Bounds of the site files in `sites/`.
 BOUNDS = {
     "seedLagS": 3,
@@ -220,7 +221,9 @@
         gateway = role["gateway"]
         command = gateway["run"].split()
         environment = {
-            key: os.environ[key] for key in ("PATH", "HOME", "LANG") if key in os.environ
+            key: os.environ[key]
+            for key in ("PATH", "HOME", "LANG")
+            if key in os.environ
         }
         environment.update(gateway["env"])
         environment["PYTHONPATH"] = str(ROOT / "target/deps")
@@ -261,7 +264,11 @@
             base = Path(self.temporary.name) / name
             self.machines.append(
                 Machine(
-                    name, ip, *addresses, base.with_suffix(".toml"), base.with_suffix(".log")
+                    name,
+                    ip,
+                    *addresses,
+                    base.with_suffix(".toml"),
+                    base.with_suffix(".log"),
                 )
             )
 
@@ -295,59 +302,6 @@
         self.temporary.cleanup()
 
 
-class Proxy:
-    """A loopback proxy before one address; while `is_silent` it passes nothing on."""
-
-    def __init__(self, target: str) -> None:
-        self.target = target
-        self.is_silent = False
-        self.changed = Event()
-        self.server = StreamServer(("127.0.0.1", 0), self.serve)
-        self.server.start()
-        self.address = f"127.0.0.1:{self.server.server_port}"
-
-    def set_silent(self, is_silent: bool) -> None:
-        """Begin or end the silence; what was held up is passed on at its end."""
-        self.is_silent = is_silent
-        self.changed.set()
-        self.changed.clear()
-
-    def serve(self, sock: Any, _: Any) -> None:
-        """Pass one connection on in both directions."""
-        self.await_end_of_silence()
-        ip, _, port = self.target.rpartition(":")
-        try:
-            upstream = gevent.socket.create_connection((ip, int(port)), 1.0)
-        except OSError:
-            sock.close()
-            return
-        tasks = [
-            gevent.spawn(self.pump, sock, upstream),
-            gevent.spawn(self.pump, upstream, sock),
-        ]
-        gevent.joinall(tasks)
-        sock.close()
-        upstream.close()
-
-    def await_end_of_silence(self) -> None:
-        """Wait while nothing is passed on."""
-        while self.is_silent:
-            self.changed.wait(timeout=0.1)
-
-    def pump(self, source: Any, target: Any) -> None:
-        """Pass bytes on until one side ends."""
-        with suppress(OSError):
-            while data := source.recv(65536):
-                self.await_end_of_silence()
-                target.sendall(data)
-        with suppress(OSError):
-            target.shutdown(socket.SHUT_RDWR)
-
-    def stop(self) -> None:
-        """Stop listening."""
-        self.server.stop(timeout=0)
-
-
 def run_case(
     folder: str, machines: int, play: Callable[[Deployment, bool], bool]
 ) -> None:
@@ -358,12 +312,20 @@
     """
     deployment = Deployment(Path(folder), machines)
     status = COULD_NOT_RUN
+
+    def give_up() -> None:
+        deployment.record.write("could not run", cause=f"over {MAX_CASE_S} s")
+        deployment.stop()
+        os._exit(COULD_NOT_RUN)
+
+    watchdog = gevent.spawn_later(MAX_CASE_S, give_up)
     try:
         has_held = play(deployment, os.environ.get("TROUBLE", "1") != "0")
         status = HELD if has_held else BROKEN
     except CannotRunError as error:
         deployment.record.write("could not run", cause=str(error))
     finally:
+        watchdog.kill()
         deployment.record.write("exit", status=status)
         deployment.stop()
     sys.exit(status)
